--- /dev/null
+++ b/crates/wirehost/src/encode.rs
@@ -0,0 +1,75 @@
+//! Actions as lines of the wire.
+use troutknot::{Action, Millis, WuId};
+
+fn micros(at: Millis) -> u64 {
+    (at * 1000.0).round().max(0.0) as u64
+}
+
+fn number(out: &mut Vec<u8>, key: &str, n: u64) {
+    out.extend_from_slice(key.as_bytes());
+    out.extend_from_slice(itoa::Buffer::new().format(n).as_bytes());
+}
+
+fn open(out: &mut Vec<u8>, op: &str, instance: u64) {
+    out.extend_from_slice(b"{\"op\":\"");
+    out.extend_from_slice(op.as_bytes());
+    number(out, "\",\"i\":", instance);
+}
+
+fn call(out: &mut Vec<u8>, wu: WuId) {
+    const DIGITS: &[u8; 16] = b"0123456789abcdef";
+    out.extend_from_slice(b",\"call\":\"");
+    out.extend((0..16).map(|k| DIGITS[(wu.0 >> (60 - 4 * k)) as usize & 15]));
+    out.push(b'"');
+}
+
+fn text(out: &mut Vec<u8>, key: &str, value: &str) {
+    out.extend_from_slice(key.as_bytes());
+    serde_json::to_writer(&mut *out, value).expect("text goes into memory");
+}
+
+/// Writes one action of one instance as a line.
+pub fn action(out: &mut Vec<u8>, instance: u64, names: &[Box<str>], action: &Action) {
+    match action {
+        Action::Push { wu, executor, cut_at } => {
+            open(out, "forward", instance);
+            call(out, *wu);
+            number(out, ",\"cut_at\":", micros(*cut_at));
+            text(out, ",\"executor\":", &names[executor.0 as usize]);
+        }
+        Action::Cancel { wu, alloc } => {
+            open(out, "undo_send", instance);
+            call(out, *wu);
+            number(out, ",\"n\":", alloc.0.into());
+        }
+        Action::Defer { wu, come_back } => {
+            open(out, "bounce", instance);
+            call(out, *wu);
+            if let Some(wait) = come_back {
+                number(out, ",\"wait\":", micros(*wait));
+            }
+        }
+        Action::Abort { wu } => {
+            open(out, "surrender", instance);
+            call(out, *wu);
+        }
+        Action::Probe { executor } => {
+            open(out, "sample", instance);
+            text(out, ",\"executor\":", &names[executor.0 as usize]);
+        }
+        Action::Wake { at } => {
+            open(out, "after", instance);
+            number(out, ",\"at\":", (at * 1000.0).ceil() as u64);
+            number(out, ",\"key_back\":", 0);
+        }
+        Action::FollowList => {
+            open(out, "listen", instance);
+            out.extend_from_slice(b",\"enable\":true");
+        }
+        Action::Log(line) => {
+            open(out, "emit", instance);
+            text(out, ",\"line\":", line);
+        }
+    }
+    out.extend_from_slice(b"}\n");
+}
--- /dev/null
+++ b/crates/wirehost/src/host.rs
@@ -0,0 +1,257 @@
+//! Routes events to instances and gathers their actions. Instances share nothing but the sheets of the wire.
+use crate::decode::{self, EntryPhase, PeersKind, StateCode};
+use crate::{encode, naming};
+use std::collections::{BTreeMap, HashMap};
+use troutknot::*;
+
+#[derive(Default)]
+pub struct Host {
+    /// The clock of the open batch, in microseconds.
+    batch: Option<u64>,
+    instances: BTreeMap<u64, Instance>,
+    sheets: BTreeMap<u8, Vec<decode::Entry>>,
+    /// Instances with an event in this batch, in the order of their first.
+    called: Vec<u64>,
+    actions: Vec<Action>,
+}
+
+struct Instance {
+    node: Dispatcher,
+    names: Vec<Box<str>>,
+    numbers: HashMap<Box<str>, u32>,
+    load_fields: Vec<LoadField>,
+    called: bool,
+}
+
+#[derive(Clone, Copy)]
+enum LoadField {
+    Queue,
+    Held,
+    FreeSlots,
+    FreeMemory,
+    Unused,
+}
+
+impl Instance {
+    /// The number of an executor; a name not met before gets the next one.
+    fn executor(&mut self, name: &str) -> ExecutorId {
+        if let Some(&number) = self.numbers.get(name) {
+            return ExecutorId(number);
+        }
+        let number = self.names.len() as u32;
+        self.names.push(name.into());
+        self.numbers.insert(name.into(), number);
+        ExecutorId(number)
+    }
+
+    fn reading(&self, metrics: Option<Vec<Option<f64>>>) -> Reading {
+        let mut reading = Reading::default();
+        for (field, value) in self.load_fields.iter().zip(metrics.unwrap_or_default()) {
+            match field {
+                LoadField::Queue => reading.queue = value,
+                LoadField::Held => reading.held = value,
+                LoadField::FreeSlots => reading.free_slots = value,
+                LoadField::FreeMemory => reading.free_memory = value,
+                LoadField::Unused => {}
+            }
+        }
+        reading
+    }
+}
+
+fn millis(micros: u64) -> Millis {
+    micros as f64 / 1000.0
+}
+
+fn outcome(code: StateCode) -> Outcome {
+    match code {
+        StateCode::Good => Outcome::Completed,
+        StateCode::Bad => Outcome::Error,
+        StateCode::Full => Outcome::Full,
+        StateCode::Late => Outcome::TimedOut,
+        StateCode::Noconn => Outcome::NoConnection,
+        StateCode::Rst => Outcome::Reset,
+        StateCode::Cxl => Outcome::Cancelled,
+        StateCode::Nop => Outcome::NotSent,
+    }
+}
+
+impl Host {
+    /// Takes one line; true when it closed a batch and the reply is complete.
+    pub fn take(&mut self, line: &[u8], reply: &mut Vec<u8>) -> Result<bool, String> {
+        let op = decode::op(line)?;
+        let Some(time) = self.batch else {
+            if op != "begin_batch" {
+                return Err(format!("`{op}` outside a batch"));
+            }
+            self.batch = Some(decode::parse::<decode::Begin>(line)?.time);
+            return Ok(false);
+        };
+        let now = millis(time);
+        match &*op {
+            "begin_batch" => return Err("a batch opened inside another".into()),
+            "eof_batch" => {
+                decode::parse::<serde::de::IgnoredAny>(line)?;
+                self.reply(now, reply);
+                return Ok(true);
+            }
+            "create" => {
+                let create: decode::Create = decode::parse(line)?;
+                self.create(now, create)?;
+            }
+            "halt" => {
+                let i = decode::parse::<decode::Instance>(line)?.i;
+                self.instances.remove(&i);
+                self.called.retain(|&called| called != i);
+            }
+            "sheet" => {
+                let sheet: decode::Sheet = decode::parse(line)?;
+                self.sheets.insert(sheet.sheet, sheet.entries);
+            }
+            "peers_known" => {
+                let told: decode::PeersKnown = decode::parse(line)?;
+                self.list(now, told)?;
+            }
+            "new_request" => {
+                let r: decode::NewRequest = decode::parse(line)?;
+                let event = Event::Arrived {
+                    wu: r.call,
+                    project_type: ProjectTypeId(r.priority),
+                    customer: CustomerId(r.account.unwrap_or(0)),
+                    slots: r.cores_needed.unwrap_or(1.0),
+                    memory: r.mem_needed.unwrap_or(0.0),
+                    left: millis(r.time_left),
+                    again: r.retry.unwrap_or(false),
+                };
+                self.tell(r.i, now, |_| event);
+            }
+            "ping_result" => {
+                let p: decode::PingResult = decode::parse(line)?;
+                self.tell(p.i, now, |instance| Event::Probed {
+                    executor: instance.executor(&p.executor),
+                    answered: p.state_code == StateCode::Good,
+                    lag: millis(p.lag),
+                    reading: instance.reading(p.metrics),
+                });
+            }
+            "returned" => {
+                let r: decode::Returned = decode::parse(line)?;
+                self.tell(r.i, now, |instance| Event::Ended {
+                    wu: r.call,
+                    alloc: AllocId(r.n),
+                    executor: instance.executor(&r.executor),
+                    outcome: outcome(r.state_code),
+                    closed: r.complete,
+                    lag: millis(r.lag),
+                });
+            }
+            "begun" => {
+                let b: decode::Begun = decode::parse(line)?;
+                self.tell(b.i, now, |_| Event::Started { wu: b.call, alloc: AllocId(b.n) });
+            }
+            "heartbeat" => {
+                let h: decode::Heartbeat = decode::parse(line)?;
+                let alloc = AllocId(h.n);
+                match h.what {
+                    1 => self.tell(h.i, now, |_| Event::Started { wu: h.call, alloc }),
+                    2 => {
+                        let share = h.value.unwrap_or(0.0);
+                        self.tell(h.i, now, |_| Event::Progress { wu: h.call, alloc, share });
+                    }
+                    _ => {}
+                }
+            }
+            "timer" => {
+                let i = decode::parse::<decode::Instance>(line)?.i;
+                self.tell(i, now, |_| Event::TimerFired);
+            }
+            "withdrawn" => {
+                let w: decode::Withdrawn = decode::parse(line)?;
+                self.tell(w.i, now, |_| Event::Withdrawn { wu: w.call });
+            }
+            // Other ops, messages between instances among them, are not for us; they must be JSON all the same.
+            _ => {
+                decode::parse::<serde::de::IgnoredAny>(line)?;
+            }
+        }
+        Ok(false)
+    }
+
+    fn create(&mut self, now: Millis, create: decode::Create) -> Result<(), String> {
+        let fields = create.profile_data.get("load_info").and_then(|info| info.get("fields"));
+        let load_fields = fields.and_then(|f| f.as_array()).map(Vec::as_slice).unwrap_or_default();
+        let load_fields = load_fields.iter().map(|field| match field.as_str() {
+            Some("depth") => LoadField::Queue,
+            Some("concurrent") => LoadField::Held,
+            Some("x0") => LoadField::FreeSlots,
+            Some("x1") => LoadField::FreeMemory,
+            _ => LoadField::Unused,
+        });
+        let instance = Instance {
+            load_fields: load_fields.collect(),
+            node: Dispatcher::new(naming::named_values(&create.profile_data)?, create.nonce64, now),
+            names: Vec::new(),
+            numbers: HashMap::new(),
+            called: true,
+        };
+        self.instances.insert(create.i, instance);
+        self.called.retain(|&called| called != create.i);
+        self.called.push(create.i);
+        Ok(())
+    }
+
+    fn list(&mut self, now: Millis, told: decode::PeersKnown) -> Result<(), String> {
+        let kind = match told.kind {
+            PeersKind::Lost => {
+                self.tell(told.i, now, |_| Event::ListLost);
+                return Ok(());
+            }
+            PeersKind::Incr => ListKind::Changes,
+            PeersKind::Total => ListKind::Whole,
+            PeersKind::WarmCopy => ListKind::Saved,
+        };
+        let number = told.sheet.ok_or("missing field `sheet`")?;
+        let sheet = self.sheets.get(&number).ok_or_else(|| format!("sheet {number} was never declared"))?;
+        let Some(instance) = self.instances.get_mut(&told.i) else { return Ok(()) };
+        let listing = |entry: &decode::Entry| Listing {
+            executor: instance.executor(&entry.executor),
+            place: PlaceId(entry.dc.unwrap_or(0)),
+            kind: MachineKindId(entry.hw.unwrap_or(0)),
+            group: GroupId(entry.stripe.unwrap_or(0)),
+            phase: match entry.phase {
+                EntryPhase::Healthy => Phase::Healthy,
+                EntryPhase::Cordoned => Phase::Draining,
+                EntryPhase::Deregistered => Phase::Gone,
+            },
+            size: entry.scale.unwrap_or(1.0),
+            started: entry.start_time.filter(|&at| at > 0).map(millis),
+        };
+        let entries = sheet.iter().map(listing).collect();
+        self.tell(told.i, now, |_| Event::ListTold { kind, entries });
+        Ok(())
+    }
+
+    /// Hands an event to its instance; one for an instance that is not there changes nothing.
+    fn tell(&mut self, i: u64, now: Millis, event: impl FnOnce(&mut Instance) -> Event) {
+        let Some(instance) = self.instances.get_mut(&i) else { return };
+        if !instance.called {
+            instance.called = true;
+            self.called.push(i);
+        }
+        let event = event(instance);
+        instance.node.tell(now, event);
+    }
+
+    fn reply(&mut self, now: Millis, reply: &mut Vec<u8>) {
+        for i in self.called.drain(..) {
+            let Some(instance) = self.instances.get_mut(&i) else { continue };
+            instance.called = false;
+            instance.node.emit(now, &mut self.actions);
+            for action in self.actions.drain(..) {
+                encode::action(reply, i, &instance.names, &action);
+            }
+        }
+        reply.extend_from_slice(b"{\"op\":\"done\"}\n");
+        self.batch = None;
+    }
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,25 @@
+//! Decisions of a dispatcher that pushes work units to executors: sans-IO, clockless, one instance a node.
+//!
+//! [`rules`] holds every decision, [`terms`] the words spoken with it. A host makes a [`Dispatcher`] from named
+//! values, a seed and the time, tells it events and carries out the actions that it emits:
+//!
+//! ```
+//! use troutknot::{Action, Dispatcher, Event, Given, NamedValues};
+//! let mut values = NamedValues::new();
+//! values.insert("nodes".into(), Given::Number(1.0));
+//! let mut node = Dispatcher::new(values, 7, 0.0);
+//! node.tell(0.0, Event::TimerFired);
+//! let mut actions: Vec<Action> = Vec::new();
+//! node.emit(0.0, &mut actions);
+//! assert!(actions.is_empty());
+//! ```
+//!
+//! Room is left, by boundaries alone, for other hosts: the operators' own protocol, IPP, a follower of Consul's
+//! catalogue, and a test and rehearsal kit. Each would be a crate beside `crates/wirehost` that drives the same
+//! [`Dispatcher`].
+
+pub mod rules;
+pub mod terms;
+
+pub use rules::Dispatcher;
+pub use terms::*;
--- /dev/null
+++ b/src/terms.rs
@@ -0,0 +1,165 @@
+//! The words spoken with the decisions: ids, events, actions and the map of named values. Nothing is decided here.
+//!
+//! Every time and duration is in milliseconds with fractions.
+use std::collections::BTreeMap;
+
+/// A point in time or a span, in milliseconds.
+pub type Millis = f64;
+
+/// A work unit, as its host names it; never used for two of them.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Debug)]
+pub struct WuId(pub u64);
+
+/// An executor: the small dense number that the host gave it when it first heard of it.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Debug)]
+pub struct ExecutorId(pub u32);
+
+/// The running number of an allocation within its work unit, from 0.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Debug)]
+pub struct AllocId(pub u32);
+
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub struct ProjectTypeId(pub u32);
+
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub struct CustomerId(pub u32);
+
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub struct PlaceId(pub u32);
+
+/// Machines of one kind share a size and a typical speed.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub struct MachineKindId(pub u32);
+
+/// Executors that know each other's marks against repeats.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub struct GroupId(pub u32);
+
+/// One value that the host hands over.
+#[derive(Clone, PartialEq, Debug)]
+pub enum Given {
+    Number(f64),
+    Text(String),
+    Flag(bool),
+}
+
+/// What the host was told at the start, by dotted names such as `project_types.0.hard_limit`.
+pub type NamedValues = BTreeMap<String, Given>;
+
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Phase {
+    Healthy,
+    Draining,
+    Gone,
+}
+
+/// One executor as the list shows it.
+#[derive(Clone, Copy, PartialEq, Debug)]
+pub struct Listing {
+    pub executor: ExecutorId,
+    pub place: PlaceId,
+    pub kind: MachineKindId,
+    pub group: GroupId,
+    pub phase: Phase,
+    pub size: f64,
+    pub started: Option<Millis>,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum ListKind {
+    /// Only what changed.
+    Changes,
+    /// The whole list; who is not in it is gone.
+    Whole,
+    /// The whole list as last held before a restart, perhaps out of date.
+    Saved,
+}
+
+/// Load that an executor reported; what a site does not report stays `None`.
+#[derive(Clone, Copy, PartialEq, Default, Debug)]
+pub struct Reading {
+    pub queue: Option<f64>,
+    pub held: Option<f64>,
+    pub free_slots: Option<f64>,
+    pub free_memory: Option<f64>,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Outcome {
+    Completed,
+    Error,
+    Full,
+    TimedOut,
+    NoConnection,
+    Reset,
+    Cancelled,
+    NotSent,
+}
+
+impl Outcome {
+    /// Whether the outcome proves that the allocation never ran.
+    pub fn never_ran(self) -> bool {
+        matches!(self, Outcome::Full | Outcome::NoConnection | Outcome::NotSent)
+    }
+}
+
+#[derive(Clone, PartialEq, Debug)]
+pub enum Event {
+    ListTold {
+        kind: ListKind,
+        entries: Vec<Listing>,
+    },
+    /// A call for the list failed, or following it broke off.
+    ListLost,
+    Arrived {
+        wu: WuId,
+        project_type: ProjectTypeId,
+        customer: CustomerId,
+        slots: f64,
+        memory: f64,
+        left: Millis,
+        again: bool,
+    },
+    Probed {
+        executor: ExecutorId,
+        answered: bool,
+        lag: Millis,
+        reading: Reading,
+    },
+    Ended {
+        wu: WuId,
+        alloc: AllocId,
+        executor: ExecutorId,
+        outcome: Outcome,
+        closed: bool,
+        lag: Millis,
+    },
+    /// An allocation has started to run, or to answer.
+    Started {
+        wu: WuId,
+        alloc: AllocId,
+    },
+    /// The share of an allocation that is done.
+    Progress {
+        wu: WuId,
+        alloc: AllocId,
+        share: f64,
+    },
+    TimerFired,
+    /// The client left; nothing more is owed.
+    Withdrawn {
+        wu: WuId,
+    },
+}
+
+#[derive(Clone, PartialEq, Debug)]
+pub enum Action {
+    Push { wu: WuId, executor: ExecutorId, cut_at: Millis },
+    Cancel { wu: WuId, alloc: AllocId },
+    Defer { wu: WuId, come_back: Option<Millis> },
+    Abort { wu: WuId },
+    Probe { executor: ExecutorId },
+    Wake { at: Millis },
+    FollowList,
+    Log(String),
+}
--- /dev/null
+++ b/tests/helpers/mod.rs
@@ -0,0 +1,133 @@
+//! Shared by the tests: a node with given values and short ways to tell it things.
+use troutknot::*;
+
+pub struct Node {
+    pub node: Dispatcher,
+    pub now: Millis,
+    next: u64,
+}
+
+/// Project types by number: 0 rerunnable, 1 receipted for all, 2 receipted in a group, 3 exclusive.
+pub fn node(nodes: f64) -> Node {
+    let mut values = NamedValues::new();
+    let kinds = [("rerunnable", ""), ("receipted", "all"), ("receipted", "group"), ("exclusive", "")];
+    for (k, (effect, scope)) in kinds.iter().enumerate() {
+        let own = |name: &str| format!("project_types.{k}.{name}");
+        values.insert(own("effect"), Given::Text(effect.to_string()));
+        values.insert(own("repeat_scope"), Given::Text(scope.to_string()));
+        for (name, n) in
+            [("hard_limit", 5000.0), ("window", 2000.0), ("promised_turnaround", 100.0), ("credit", 1.0)]
+        {
+            values.insert(own(name), Given::Number(n));
+        }
+        values.insert(own("stretch"), Given::Number(2.0));
+    }
+    for (name, n) in [
+        ("nodes", nodes),
+        ("limits.most_allocations", 3.0),
+        ("limits.longest_come_back", 2000.0),
+        ("rules.cold_share", 0.25),
+        ("rules.ramp_time", 10_000.0),
+        ("rules.fall", 1000.0),
+        ("rules.fall_multiple", 4.0),
+        ("rules.ask_every", 10_000.0),
+    ] {
+        values.insert(name.into(), Given::Number(n));
+    }
+    values.insert("limits.come_back_told".into(), Given::Flag(true));
+    with(values)
+}
+
+pub fn with(values: NamedValues) -> Node {
+    Node { node: Dispatcher::new(values, 11, 0.0), now: 0.0, next: 0 }
+}
+
+pub fn listing(executor: u32, group: u32, phase: Phase, started: Option<Millis>) -> Listing {
+    let (place, kind) = (PlaceId(0), MachineKindId(0));
+    Listing { executor: ExecutorId(executor), place, kind, group: GroupId(group), phase, size: 1.0, started }
+}
+
+impl Node {
+    pub fn emit(&mut self) -> Vec<Action> {
+        let mut actions = Vec::new();
+        self.node.emit(self.now, &mut actions);
+        actions
+    }
+
+    pub fn tell(&mut self, event: Event) -> Vec<Action> {
+        self.node.tell(self.now, event);
+        self.emit()
+    }
+
+    pub fn list(&mut self, kind: ListKind, entries: &[Listing]) -> Vec<Action> {
+        self.tell(Event::ListTold { kind, entries: entries.to_vec() })
+    }
+
+    /// Healthy warm executors 0..n, each in a group of its own.
+    pub fn warm(&mut self, n: u32) {
+        let entries: Vec<Listing> = (0..n).map(|e| listing(e, e, Phase::Healthy, None)).collect();
+        self.list(ListKind::Whole, &entries);
+    }
+
+    pub fn arrive(&mut self, project_type: u32) -> (WuId, Vec<Action>) {
+        self.next += 1;
+        let wu = WuId(self.next);
+        let actions = self.tell(Event::Arrived {
+            wu,
+            project_type: ProjectTypeId(project_type),
+            customer: CustomerId(0),
+            slots: 1.0,
+            memory: 0.0,
+            left: 5000.0,
+            again: false,
+        });
+        (wu, actions)
+    }
+
+    /// Answers every probe among the actions with the queue that `queue` gives, until no probe is asked for.
+    pub fn answer(&mut self, mut actions: Vec<Action>, queue: impl Fn(u32) -> f64) -> Vec<Action> {
+        let mut others = Vec::new();
+        while let Some(at) = actions.iter().position(|a| matches!(a, Action::Probe { .. })) {
+            let Action::Probe { executor } = actions.remove(at) else { unreachable!() };
+            let held = queue(executor.0);
+            let free = if held > 0.0 { 0.0 } else { 4.0 };
+            let reading = Reading { queue: Some(held), free_slots: Some(free), ..Reading::default() };
+            actions.extend(self.tell(Event::Probed { executor, answered: true, lag: 1.0, reading }));
+        }
+        others.append(&mut actions);
+        others
+    }
+
+    pub fn end(&mut self, wu: WuId, alloc: u32, executor: ExecutorId, outcome: Outcome) -> Vec<Action> {
+        let closed = outcome == Outcome::Completed;
+        self.tell(Event::Ended { wu, alloc: AllocId(alloc), executor, outcome, closed, lag: 100.0 })
+    }
+
+    /// A work unit taken, probed and pushed: its id and where it went.
+    pub fn pushed(&mut self, project_type: u32) -> (WuId, ExecutorId) {
+        let (wu, actions) = self.arrive(project_type);
+        let actions = self.answer(actions, |_| 0.0);
+        (wu, push_of(&actions).expect("room everywhere"))
+    }
+}
+
+pub fn push_of(actions: &[Action]) -> Option<ExecutorId> {
+    actions.iter().find_map(|a| match a {
+        Action::Push { executor, .. } => Some(*executor),
+        _ => None,
+    })
+}
+
+/// What an answer to a batch did for work units: p push or probe, d deferral, a abort, h nothing.
+pub fn said(actions: &[Action]) -> char {
+    let mut said = 'h';
+    for action in actions {
+        match action {
+            Action::Push { .. } | Action::Probe { .. } => said = 'p',
+            Action::Defer { .. } => return 'd',
+            Action::Abort { .. } => return 'a',
+            _ => {}
+        }
+    }
+    said
+}
--- /dev/null
+++ b/tests/rules.rs
@@ -0,0 +1,195 @@
+//! Tables of cases for the module alone.
+mod helpers;
+use helpers::*;
+use troutknot::rules::{best_draws, time_in_system};
+use troutknot::*;
+
+/// Figure 1 of the paper: C = 0.003.
+#[test]
+fn formula_follows_the_paper() {
+    let at = |draws, load| time_in_system(draws, load, 0.003).unwrap();
+    for (draws, load, low, high) in [
+        (2, 0.80, 1.8, 2.1),
+        (20, 0.80, 1.03, 1.15),
+        (2, 0.90, 2.4, 2.8),
+        (2, 0.95, 3.0, 3.7),
+        (1, 0.50, 1.9, 2.1),
+    ] {
+        assert!((low..high).contains(&at(draws, load)), "d {draws} load {load}: {}", at(draws, load));
+    }
+    for load in [0.80, 0.90, 0.95] {
+        let best = (2..100).filter(|&d| time_in_system(d, load, 0.003).is_some());
+        let best = best.min_by(|a, b| at(*a, load).total_cmp(&at(*b, load))).unwrap();
+        assert!(
+            at(best, load) < at(2, load)
+                && (best + 5..60)
+                    .any(|d| { time_in_system(d, load, 0.003).is_none_or(|t| t > at(best, load)) })
+        );
+    }
+    // Unstable: every d is skipped and none is left.
+    for (share, cost, expected) in [(0.99, 0.6, None), (0.2, 0.0, Some(8)), (0.001, 0.5, Some(2))] {
+        assert_eq!(best_draws(share, 2, cost, 8), expected, "share {share} C {cost}");
+    }
+}
+
+/// Project type by outcome of its first allocation: sent again, deferred or aborted.
+#[test]
+fn what_follows_an_outcome() {
+    use Outcome::*;
+    let never_ran = [Full, NoConnection, NotSent];
+    let may_have_run = [Error, TimedOut, Reset, Cancelled];
+    for (project_type, sure, unsure) in [(0, 'p', 'p'), (1, 'p', 'p'), (2, 'p', 'a'), (3, 'p', 'a')] {
+        for (outcomes, expected) in [(&never_ran[..], sure), (&may_have_run[..], unsure)] {
+            for &outcome in outcomes {
+                let mut node = node(1.0);
+                node.warm(3);
+                let (wu, executor) = node.pushed(project_type);
+                // A group of one that is gone leaves a receipted work unit nowhere to go.
+                if project_type == 2 {
+                    node.list(ListKind::Changes, &[listing(executor.0, executor.0, Phase::Draining, None)]);
+                    node.now = 200.0;
+                }
+                let actions = node.end(wu, 0, executor, outcome);
+                assert_eq!(said(&actions), expected, "type {project_type} after {outcome:?}");
+            }
+        }
+    }
+}
+
+/// A receipted work unit that may have run stays in its group, and is not sent once the window is over.
+#[test]
+fn receipts_hold_in_their_group_and_window() {
+    for (after, expected) in [(100.0, 'p'), (1700.0, 'a')] {
+        let mut node = node(1.0);
+        let entries: Vec<Listing> = (0..6).map(|e| listing(e, e % 2, Phase::Healthy, None)).collect();
+        node.list(ListKind::Whole, &entries);
+        let (wu, executor) = node.pushed(2);
+        node.now = after;
+        let actions = node.end(wu, 0, executor, Outcome::Reset);
+        assert_eq!(said(&actions), expected);
+        if expected == 'p' {
+            let actions = node.answer(actions, |_| 0.0);
+            assert_eq!(push_of(&actions).unwrap().0 % 2, executor.0 % 2);
+        }
+    }
+}
+
+#[test]
+fn attempts_are_counted_and_answers_final() {
+    let mut node = node(1.0);
+    node.warm(6);
+    let (wu, mut executor) = node.pushed(3);
+    for alloc in 0..2 {
+        let actions = node.end(wu, alloc, executor, Outcome::Full);
+        executor = push_of(&node.answer(actions, |_| 0.0)).unwrap();
+    }
+    assert_eq!(said(&node.end(wu, 2, executor, Outcome::Full)), 'd');
+    assert!(node.end(wu, 2, executor, Outcome::Full).is_empty(), "nothing follows a final answer");
+}
+
+#[test]
+fn shortest_queue_wins() {
+    let mut node = node(1.0);
+    node.warm(2);
+    for _ in 0..20 {
+        let (_, actions) = node.arrive(0);
+        let probed = actions.iter().filter(|a| matches!(a, Action::Probe { .. })).count();
+        let pushed = push_of(&node.answer(actions, |e| 3.0 * e as f64)).unwrap();
+        assert!(pushed.0 == 0 || probed == 1);
+    }
+}
+
+/// Drains bind from the very batch, also for a work unit whose probes are all in.
+#[test]
+fn nothing_new_to_a_draining_executor() {
+    for phase in [Phase::Draining, Phase::Gone] {
+        let mut node = node(1.0);
+        node.warm(2);
+        let (_, actions) = node.arrive(0);
+        let probes: Vec<ExecutorId> = actions
+            .iter()
+            .filter_map(|a| if let Action::Probe { executor } = a { Some(*executor) } else { None })
+            .collect();
+        for executor in probes {
+            let reading = Reading { queue: Some(executor.0 as f64), ..Reading::default() };
+            node.node.tell(node.now, Event::Probed { executor, answered: true, lag: 1.0, reading });
+        }
+        let entries = vec![listing(0, 0, phase, None)];
+        node.node.tell(node.now, Event::ListTold { kind: ListKind::Changes, entries });
+        let actions = node.emit();
+        let actions = node.answer(actions, |_| 0.0);
+        assert_eq!(push_of(&actions), Some(ExecutorId(1)));
+    }
+    let mut node = node(1.0);
+    node.warm(2);
+    // Who is missing from a whole list is gone; with none left nothing is sent.
+    node.list(ListKind::Whole, &[]);
+    assert_eq!(said(&node.arrive(0).1), 'h');
+}
+
+/// However long a burst, a cold executor gets no more than this node's part.
+#[test]
+fn cold_budget_is_hard() {
+    for nodes in [1.0, 4.0] {
+        let mut node = node(nodes);
+        node.now = 50_000.0;
+        node.list(ListKind::Whole, &[listing(0, 0, Phase::Healthy, Some(50_000.0))]);
+        let mut sent = 0;
+        for _ in 0..100 {
+            let (_, actions) = node.arrive(0);
+            sent += push_of(&node.answer(actions, |_| 0.0)).is_some() as u32;
+        }
+        // 4 slots at a quarter for 1000 ms, four times over; a work unit takes 100 ms until more is known.
+        let whole = 4.0 * 0.25 * 4.0 * 1000.0 / 100.0;
+        assert!(sent >= 1 && sent as f64 <= whole / nodes, "{sent} sent by one of {nodes}");
+    }
+}
+
+#[test]
+fn a_lost_list_is_asked_for_again_inside_the_span() {
+    let mut values = NamedValues::new();
+    values.insert("list_mode".into(), Given::Text("asked".into()));
+    values.insert("rules.ask_every".into(), Given::Number(4000.0));
+    let mut node = with(values);
+    assert!(node.emit().contains(&Action::FollowList));
+    node.warm(2);
+    for _ in 0..10 {
+        let actions = node.tell(Event::ListLost);
+        let at = actions.iter().find_map(|a| if let Action::Wake { at } = a { Some(*at) } else { None });
+        let at = at.expect("a time to ask again");
+        assert!(at > node.now && at <= node.now + 1000.0);
+        node.now = at;
+        assert!(node.tell(Event::TimerFired).contains(&Action::FollowList));
+    }
+}
+
+/// What is no longer known changes nothing, and the same events give the same actions.
+#[test]
+fn stale_events_and_repetition() {
+    let play = || {
+        let mut node = node(2.0);
+        node.warm(5);
+        let mut all = Vec::new();
+        for k in 0..30 {
+            node.now = k as f64;
+            let (wu, actions) = node.arrive(k % 4);
+            let actions = node.answer(actions, |e| (e % 3) as f64);
+            all.extend(actions.clone());
+            if let Some(executor) = push_of(&actions) {
+                all.extend(node.end(wu, 0, executor, Outcome::Completed));
+                assert!(node.end(wu, 0, executor, Outcome::Reset).is_empty());
+            }
+        }
+        let stale = WuId(999);
+        for event in [
+            Event::Withdrawn { wu: stale },
+            Event::Started { wu: stale, alloc: AllocId(3) },
+            Event::Progress { wu: stale, alloc: AllocId(0), share: 0.5 },
+            Event::Probed { executor: ExecutorId(77), answered: true, lag: 1.0, reading: Reading::default() },
+        ] {
+            assert!(node.tell(event).is_empty());
+        }
+        all
+    };
+    assert_eq!(play(), play());
+}
