--- a/crates/wirehost/src/decode.rs
+++ b/crates/wirehost/src/decode.rs
@@ -4,7 +4,7 @@
 use troutknot::WuId;
 
 pub fn parse<'a, T: Deserialize<'a>>(line: &'a [u8]) -> Result<T, String> {
-    serde_json::from_slice(line).map_err(|e| e.to_string())
+    serde_json::from_slice(line).map_err(|e| e.to_string().replace(" at line 1 column ", ", column "))
 }
 
 /// The name of the message. It nearly always stands first, so the line is rarely read twice.
