--- a/src/rules.rs
+++ b/src/rules.rs
@@ -17,7 +17,7 @@
 /// How often d is worked out anew.
 const RECOMPUTE_EVERY: Millis = 1000.0;
 /// The most draws that are tried; past this a draw rarely finds an executor not drawn yet.
-const MOST_DRAWS: u32 = 8;
+const MOST_DRAWS: u32 = 3;
 /// Distrust fades by this time constant.
 const DISTRUST_FADE: Millis = 4000.0;
 /// Part of the cold budget that is used: running times are heavy-tailed and only learned means are known.
