--- a/src/rules.rs
+++ b/src/rules.rs
@@ -18,6 +18,10 @@
 const RECOMPUTE_EVERY: Millis = 1000.0;
 /// The most draws that are tried; past this a draw rarely finds an executor not drawn yet.
 const MOST_DRAWS: u32 = 3;
+/// How long a reading may have been under way when it is first seen.
+const READING_DELAY: Millis = 40.0;
+/// A reading that still looks the same after this is taken to be made anew.
+const READING_LIFE: Millis = 400.0;
 /// Distrust fades by this time constant.
 const DISTRUST_FADE: Millis = 4000.0;
 /// Part of the cold budget that is used: running times are heavy-tailed and only learned means are known.
@@ -65,6 +69,10 @@
     /// The most slots that reports have shown.
     slots: Vec<f64>,
     reading: Vec<Reading>,
+    /// When this reading was first seen; the same one comes back until the executor makes a new one.
+    read_at: Vec<Millis>,
+    /// Slots that this node's own pushes (+) and ended allocations (-) have changed of late.
+    own_changes: Vec<VecDeque<(Millis, f64)>>,
     /// Work units that wait for the probe that is wanted or out.
     awaiting: Vec<Vec<WuId>>,
     probe_out: Vec<bool>,
@@ -186,6 +194,8 @@
             self.distrust_at.push(0.0);
             self.slots.push(0.0);
             self.reading.push(Reading::default());
+            self.read_at.push(0.0);
+            self.own_changes.push(VecDeque::new());
             self.awaiting.push(Vec::new());
             self.probe_out.push(false);
             self.cold_spent.push(VecDeque::new());
@@ -215,6 +225,21 @@
         self.distrust_at[e] = now;
     }
 
+    fn own_change(&mut self, e: usize, now: Millis, slots: f64) {
+        let changes = &mut self.own_changes[e];
+        while changes.front().is_some_and(|&(at, _)| at < now - READING_LIFE) {
+            changes.pop_front();
+        }
+        changes.push_back((now, slots));
+    }
+
+    /// Guards against a herd of this node's own: a reading is made now and then and arrives late, so pushes newer
+    /// than it are added, and what has ended since is taken off.
+    fn unseen(&self, e: usize, now: Millis) -> f64 {
+        let since = (self.read_at[e] - READING_DELAY).max(now - READING_LIFE);
+        self.own_changes[e].iter().filter(|&&(at, _)| at >= since).map(|&(_, slots)| slots).sum()
+    }
+
     /// Slots of an executor: as its reports show, else the least that any of its kind, then any at all, has shown.
     fn slots_of(&self, e: usize) -> f64 {
         if self.slots[e] > 0.0 {
@@ -402,7 +427,10 @@
             let running = reading.held.unwrap_or(0.0) - reading.queue.unwrap_or(0.0);
             let shown = reading.free_slots.unwrap_or(0.0) + running.max(0.0);
             self.fleet.slots[e] = self.fleet.slots[e].max(shown.round());
-            self.fleet.reading[e] = reading;
+            if self.fleet.reading[e] != reading {
+                self.fleet.reading[e] = reading;
+                self.fleet.read_at[e] = now;
+            }
         } else {
             self.fleet.add_distrust(e, now, 1.0);
         }
@@ -443,6 +471,10 @@
         let Some(w) = self.wus.get_mut(&wu) else { return };
         let Some(a) = w.allocs.get_mut(alloc.0 as usize) else { return };
         a.outcome = Some(outcome);
+        let slots = w.slots;
+        self.fleet.own_change(executor.0 as usize, now, -slots);
+        let Some(w) = self.wus.get_mut(&wu) else { return };
+        let Some(a) = w.allocs.get_mut(alloc.0 as usize) else { return };
         if outcome == Outcome::Completed {
             let ran = a.started.map_or(lag, |s| now - s);
             let kind = &mut self.types[w.project_type];
@@ -648,7 +680,9 @@
             if !legal.contains(executor) {
                 continue;
             }
-            let queue = reading.queue.or(reading.held).unwrap_or(0.0).round();
+            let unseen = self.fleet.unseen(executor.0 as usize, now);
+            let free = reading.free_slots.unwrap_or(0.0);
+            let queue = (reading.queue.or(reading.held).unwrap_or(0.0) + (unseen - free).max(0.0)).round();
             if queue < least {
                 least = queue;
                 best.clear();
@@ -676,7 +710,8 @@
             let cost = self.cost(w);
             self.fleet.cold_spent[e].push_back((now, cost));
         }
-        let cut_at = w.limit;
+        let (cut_at, slots) = (w.limit, w.slots);
+        self.fleet.own_change(e, now, slots);
         self.want(wu, Wanted::Out { executor, cut_at }, f64::INFINITY);
     }
 
