--- a/src/rules.rs
+++ b/src/rules.rs
@@ -682,7 +682,8 @@
             }
             let unseen = self.fleet.unseen(executor.0 as usize, now);
             let free = reading.free_slots.unwrap_or(0.0);
-            let queue = (reading.queue.or(reading.held).unwrap_or(0.0) + (unseen - free).max(0.0)).round();
+            let short = (w.slots + unseen - free).max(0.0);
+            let queue = (reading.queue.or(reading.held).unwrap_or(0.0) + short).round();
             if queue < least {
                 least = queue;
                 best.clear();
