--- a/src/rules.rs
+++ b/src/rules.rs
@@ -76,6 +76,8 @@
     read_at: Vec<Millis>,
     /// Slots that this node's own pushes (+) and ended allocations (-) have changed of late.
     own_changes: Vec<VecDeque<(Millis, f64)>>,
+    /// Slots of this node's allocations that are out.
+    own_out: Vec<f64>,
     /// Work units that wait for the probe that is wanted or out.
     awaiting: Vec<Vec<WuId>>,
     probe_out: Vec<bool>,
@@ -202,6 +204,7 @@
             self.reading.push(Reading::default());
             self.read_at.push(0.0);
             self.own_changes.push(VecDeque::new());
+            self.own_out.push(0.0);
             self.awaiting.push(Vec::new());
             self.probe_out.push(false);
             self.cold_spent.push(VecDeque::new());
@@ -237,6 +240,7 @@
             changes.pop_front();
         }
         changes.push_back((now, slots));
+        self.own_out[e] = (self.own_out[e] + slots).max(0.0);
     }
 
     /// Guards against a herd of this node's own: a reading is made now and then and arrives late, so pushes newer
@@ -471,7 +475,9 @@
         lag: Millis,
     ) {
         match outcome {
-            Outcome::Completed | Outcome::NotSent | Outcome::Cancelled | Outcome::Full => {}
+            Outcome::Completed | Outcome::NotSent | Outcome::Cancelled => {}
+            // Only executors that showed room are sent to; one that is full all the same reports wrongly.
+            Outcome::Full => self.fleet.add_distrust(executor.0 as usize, now, 1.0),
             Outcome::Error => self.fleet.add_distrust(executor.0 as usize, now, 0.3),
             Outcome::TimedOut | Outcome::NoConnection => {
                 self.fleet.add_distrust(executor.0 as usize, now, 1.0)
@@ -709,7 +715,10 @@
             }
             let unseen = self.fleet.unseen(executor.0 as usize, now);
             let free = reading.free_slots.unwrap_or(0.0);
-            let short = reading.free_slots.map_or(0.0, |_| (w.slots + unseen - free).max(0.0));
+            // Guards against readings that come late or stand still: what this node has out there is there.
+            let free = (free - unseen)
+                .min(self.fleet.slots_of(executor.0 as usize) - self.fleet.own_out[executor.0 as usize]);
+            let short = reading.free_slots.map_or(0.0, |_| (w.slots - free).max(0.0));
             let queue = (reading.queue.or(reading.held).unwrap_or(0.0) + short).round();
             if queue < least {
                 least = queue;
