--- a/src/rules.rs
+++ b/src/rules.rs
@@ -708,23 +708,24 @@
         let legal = self.legal(now, wu);
         let Some(w) = self.wus.get(&wu) else { return };
         let mut best: Vec<ExecutorId> = Vec::new();
-        let mut least = f64::INFINITY;
+        let mut least = (f64::INFINITY, 0.0);
         for (executor, reading) in &w.answers {
             if !legal.contains(executor) {
                 continue;
             }
-            let unseen = self.fleet.unseen(executor.0 as usize, now);
+            let e = executor.0 as usize;
+            let unseen = self.fleet.unseen(e, now);
             let free = reading.free_slots.unwrap_or(0.0);
             // Guards against readings that come late or stand still: what this node has out there is there.
-            let free = (free - unseen)
-                .min(self.fleet.slots_of(executor.0 as usize) - self.fleet.own_out[executor.0 as usize]);
+            let free = (free - unseen).min(self.fleet.slots_of(e) - self.fleet.own_out[e]);
             let short = reading.free_slots.map_or(0.0, |_| (w.slots - free).max(0.0));
             let queue = (reading.queue.or(reading.held).unwrap_or(0.0) + short).round();
-            if queue < least {
-                least = queue;
+            let own = self.fleet.own_out[e] / self.fleet.slots_of(e);
+            if (queue, own) < least {
+                least = (queue, own);
                 best.clear();
             }
-            if queue <= least {
+            if (queue, own) <= least {
                 best.push(*executor);
             }
         }
@@ -734,7 +735,7 @@
                 return self.draw(now, wu);
             }
             best = self.ready(now, &legal);
-        } else if least >= 0.5 {
+        } else if least.0 >= 0.5 {
             // Every answer is long: one more draw, then a short hold. What is pushed into a queue cannot be moved.
             return if w.draws < 2 { self.draw(now, wu) } else { self.hold(now, wu) };
         }
