--- a/src/rules.rs
+++ b/src/rules.rs
@@ -145,6 +145,9 @@
     wakes: BTreeSet<(u64, WuId)>,
     wake_set: Millis,
     log: Vec<String>,
+    /// Where this node stands, and whether the settings price a push to another place.
+    place: PlaceId,
+    cross_priced: bool,
     draws: u32,
     draws_at: Millis,
     waiting_share: Option<f64>,
@@ -279,6 +282,8 @@
             wakes: BTreeSet::new(),
             wake_set: f64::INFINITY,
             log: Vec::new(),
+            place: PlaceId(0),
+            cross_priced: false,
             draws: 2,
             draws_at: now,
             waiting_share: None,
@@ -313,6 +318,8 @@
                 runs_seen: 0,
             });
         }
+        node.place = PlaceId(node.number("place", 0.0) as u32);
+        node.cross_priced = node.number("prices.cross_place", 0.0) > 0.0;
         if node.text("list_mode") == "asked" {
             node.follow_wanted = true;
             node.follow_at = now;
@@ -708,7 +715,7 @@
         let legal = self.legal(now, wu);
         let Some(w) = self.wus.get(&wu) else { return };
         let mut best: Vec<ExecutorId> = Vec::new();
-        let mut least = (f64::INFINITY, 0.0);
+        let mut least = (f64::INFINITY, true, 0.0);
         for (executor, reading) in &w.answers {
             if !legal.contains(executor) {
                 continue;
@@ -720,12 +727,14 @@
             let free = (free - unseen).min(self.fleet.slots_of(e) - self.fleet.own_out[e]);
             let short = reading.free_slots.map_or(0.0, |_| (w.slots - free).max(0.0));
             let queue = (reading.queue.or(reading.held).unwrap_or(0.0) + short).round();
+            let crossed = self.cross_priced && self.fleet.place[e] != self.place;
             let own = self.fleet.own_out[e] / self.fleet.slots_of(e);
-            if (queue, own) < least {
-                least = (queue, own);
+            let rank = (queue, crossed, own);
+            if rank < least {
+                least = rank;
                 best.clear();
             }
-            if (queue, own) <= least {
+            if rank <= least {
                 best.push(*executor);
             }
         }
