--- a/crates/wirehost/src/naming.rs
+++ b/crates/wirehost/src/naming.rs
@@ -61,7 +61,7 @@
 ];
 
 pub fn named_values(profile: &Map<String, Value>) -> Result<NamedValues, String> {
-    let mut values = NamedValues::new();
+    let mut values = NamedValues::default();
     for (key, value) in profile {
         walk(key, &mut Vec::new(), value, &mut values)?;
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,8 +5,8 @@
 //!
 //! ```
 //! use troutknot::{Action, Dispatcher, Event, Given, NamedValues};
-//! let mut values = NamedValues::new();
-//! values.insert("nodes".into(), Given::Number(1.0));
+//! let mut values = NamedValues::default();
+//! values.insert("nodes", Given::Number(1.0));
 //! let mut node = Dispatcher::new(values, 7, 0.0);
 //! node.tell(0.0, Event::TimerFired);
 //! let mut actions: Vec<Action> = Vec::new();
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -16,7 +16,7 @@
 const RUN_WEIGHT: f64 = 0.03;
 /// How often d is worked out anew.
 const RECOMPUTE_EVERY: Millis = 1000.0;
-/// The most draws that are tried; past this a draw rarely finds an executor not drawn yet.
+/// The most draws that are tried; with several slots an executor rarely makes a work unit wait, and probes cost.
 const MOST_DRAWS: u32 = 3;
 /// How long a reading may have been under way when it is first seen.
 const READING_DELAY: Millis = 40.0;
@@ -28,17 +28,17 @@
 const COLD_HEADROOM: f64 = 0.5;
 /// A receipted work unit is resent only this part into its window, for the way there and clocks that differ.
 const WINDOW_MARGIN: f64 = 0.8;
-/// A held work unit draws again after this part of its promised turnaround.
+/// A held work unit draws again after this part of its patience.
 const HOLD_PART: f64 = 0.25;
 
-#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+#[derive(Clone, Copy, PartialEq, Eq)]
 enum Effect {
     Rerunnable,
     Receipted,
     Exclusive,
 }
 
-#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+#[derive(Clone, Copy, PartialEq, Eq)]
 enum RepeatScope {
     All,
     Place,
@@ -59,16 +59,20 @@
     runs_seen: u32,
 }
 
+/// The figures of the rule that no cold executor is pushed over.
+struct ColdRule {
+    share: f64,
+    ramp: Millis,
+    fall: Millis,
+    /// This node's part of what all may send.
+    part: f64,
+}
+
 /// What is known of executors, in parallel arrays under the executor's number.
 #[derive(Default)]
 struct Fleet {
-    phase: Vec<Phase>,
-    place: Vec<PlaceId>,
-    kind: Vec<MachineKindId>,
-    group: Vec<GroupId>,
-    started: Vec<Option<Millis>>,
-    distrust: Vec<f64>,
-    distrust_at: Vec<Millis>,
+    listed: Vec<Listing>,
+    distrust: Vec<(f64, Millis)>,
     /// The most slots that reports have shown.
     slots: Vec<f64>,
     reading: Vec<Reading>,
@@ -85,7 +89,7 @@
     cold_spent: Vec<VecDeque<(Millis, f64)>>,
 }
 
-#[derive(Clone, Copy, PartialEq, Debug)]
+#[derive(Clone, Copy)]
 struct Alloc {
     executor: ExecutorId,
     sent: Millis,
@@ -93,14 +97,11 @@
     outcome: Option<Outcome>,
 }
 
-#[derive(Clone, Copy, PartialEq, Debug)]
+#[derive(Clone, Copy, PartialEq)]
 enum Wanted {
     /// Probes are wanted or out for what was drawn.
     Probed,
-    Out {
-        executor: ExecutorId,
-        cut_at: Millis,
-    },
+    Out(ExecutorId, Millis),
     Held,
     Deferred(Option<Millis>),
     Aborted,
@@ -109,6 +110,8 @@
 struct Wu {
     project_type: usize,
     slots: f64,
+    /// When the client first asked, for an earlier try perhaps.
+    asked: Millis,
     limit: Millis,
     wanted: Wanted,
     allocs: Vec<Alloc>,
@@ -116,24 +119,43 @@
     answers: Vec<(ExecutorId, Reading)>,
     missing: usize,
     draws: u32,
-    /// When the client first asked, for an earlier try perhaps.
-    asked: Millis,
     wake: Millis,
 }
 
 /// Where a work unit may be sent next.
-#[derive(Clone, Copy, PartialEq, Debug)]
+#[derive(Clone, Copy, PartialEq)]
 enum Resend {
     Anywhere,
     /// Only to executors that drop repeats of what this one may have run.
-    LikeExecutor(ExecutorId),
+    Like(ExecutorId),
     Never,
 }
 
+/// How much to probe, and what that rests on.
+struct Monitoring {
+    draws: u32,
+    at: Millis,
+    waiting_share: Option<f64>,
+    lag: Option<Millis>,
+    lag_swing: Millis,
+    price: f64,
+}
+
+/// Following a list that must be asked for.
+struct Following {
+    ask_at: Millis,
+    failures: u32,
+    ask_every: Millis,
+}
+
 pub struct Dispatcher {
-    values: NamedValues,
     rng: ChaCha8Rng,
     types: Vec<ProjectType>,
+    cold: ColdRule,
+    most_allocs: usize,
+    come_back_told: bool,
+    /// Where this node stands, if the settings price a push to another place.
+    home: Option<PlaceId>,
     fleet: Fleet,
     wus: HashMap<WuId, Wu>,
     /// Held work units, the longest held first.
@@ -144,18 +166,9 @@
     /// When a work unit wants to be looked at again, by the bits of that time.
     wakes: BTreeSet<(u64, WuId)>,
     wake_set: Millis,
+    monitoring: Monitoring,
+    following: Following,
     log: Vec<String>,
-    /// Where this node stands, and whether the settings price a push to another place.
-    place: PlaceId,
-    cross_priced: bool,
-    draws: u32,
-    draws_at: Millis,
-    waiting_share: Option<f64>,
-    probe_lag: Option<f64>,
-    probe_lag_swing: f64,
-    follow_wanted: bool,
-    follow_at: Millis,
-    follow_failures: u32,
 }
 
 /// The mean time in the system of the ESM formula, in units of the mean running time; none where ρ reaches 1.
@@ -182,27 +195,16 @@
 /// waiting through the tail law (share = load^(d+1) at the d in use).
 pub fn best_draws(waiting_share: f64, in_use: u32, cost: f64, most: u32) -> Option<u32> {
     let load = waiting_share.clamp(1e-6, 1.0 - 1e-6).powf(1.0 / (in_use as f64 + 1.0));
-    let mut best: Option<(u32, f64)> = None;
-    for draws in 2..=most.max(2) {
-        if let Some(time) = time_in_system(draws, load, cost)
-            && best.is_none_or(|(_, least)| time < least)
-        {
-            best = Some((draws, time));
-        }
-    }
-    best.map(|(draws, _)| draws)
+    let times = (2..=most.max(2)).filter_map(|d| Some((d, time_in_system(d, load, cost)?)));
+    times.min_by(|a, b| a.1.total_cmp(&b.1)).map(|(d, _)| d)
 }
 
 impl Fleet {
-    fn make_room(&mut self, upto: usize) {
-        while self.phase.len() <= upto {
-            self.phase.push(Phase::Gone);
-            self.place.push(PlaceId(0));
-            self.kind.push(MachineKindId(0));
-            self.group.push(GroupId(0));
-            self.started.push(None);
-            self.distrust.push(0.0);
-            self.distrust_at.push(0.0);
+    fn list(&mut self, entry: &Listing) {
+        let e = entry.executor.0 as usize;
+        while self.listed.len() <= e {
+            self.listed.push(Listing { phase: Phase::Gone, started: None, ..*entry });
+            self.distrust.push((0.0, 0.0));
             self.slots.push(0.0);
             self.reading.push(Reading::default());
             self.read_at.push(0.0);
@@ -212,29 +214,24 @@
             self.probe_out.push(false);
             self.cold_spent.push(VecDeque::new());
         }
-    }
-
-    fn list(&mut self, entry: &Listing) {
-        let e = entry.executor.0 as usize;
-        self.make_room(e);
-        self.phase[e] = entry.phase;
-        self.place[e] = entry.place;
-        self.kind[e] = entry.kind;
-        self.group[e] = entry.group;
-        if self.started[e] != entry.started {
-            self.started[e] = entry.started;
+        if self.listed[e].started != entry.started {
             self.cold_spent[e].clear();
-            self.distrust[e] = 0.0;
+            self.distrust[e] = (0.0, 0.0);
         }
+        self.listed[e] = *entry;
+    }
+
+    fn healthy(&self, executor: ExecutorId) -> bool {
+        self.listed.get(executor.0 as usize).is_some_and(|l| l.phase == Phase::Healthy)
     }
 
     fn distrust(&self, e: usize, now: Millis) -> f64 {
-        self.distrust[e] * (-(now - self.distrust_at[e]) / DISTRUST_FADE).exp()
+        let (score, at) = self.distrust[e];
+        if score > 0.0 { score * (-(now - at) / DISTRUST_FADE).exp() } else { 0.0 }
     }
 
     fn add_distrust(&mut self, e: usize, now: Millis, by: f64) {
-        self.distrust[e] = (self.distrust(e, now) + by).min(6.0);
-        self.distrust_at[e] = now;
+        self.distrust[e] = ((self.distrust(e, now) + by).min(6.0), now);
     }
 
     fn own_change(&mut self, e: usize, now: Millis, slots: f64) {
@@ -258,93 +255,91 @@
         if self.slots[e] > 0.0 {
             return self.slots[e];
         }
-        let least = |same_kind: bool| {
-            let shown = (0..self.slots.len())
-                .filter(|&o| self.slots[o] > 0.0 && (!same_kind || self.kind[o] == self.kind[e]))
-                .map(|o| self.slots[o]);
-            shown.fold(f64::INFINITY, f64::min)
+        let shown = |same_kind: bool| {
+            let known = (0..self.slots.len()).filter(|&o| self.slots[o] > 0.0);
+            known
+                .filter(|&o| !same_kind || self.listed[o].kind == self.listed[e].kind)
+                .map(|o| self.slots[o])
+                .min_by(f64::total_cmp)
         };
-        [least(true), least(false), 1.0].into_iter().find(|s| s.is_finite()).unwrap_or(1.0)
+        shown(true).or_else(|| shown(false)).unwrap_or(1.0)
+    }
+
+    /// The queue that a work unit of so many slots would stand in, with the slots that it lacks there now.
+    fn queue_for(&self, e: usize, now: Millis, slots: f64, reading: &Reading) -> f64 {
+        let waiting = reading.queue.or(reading.held).unwrap_or(0.0);
+        let Some(free) = reading.free_slots else { return waiting.round() };
+        // Guards against readings that come late or stand still: what this node has out there is there.
+        let free = (free - self.unseen(e, now)).min(self.slots_of(e) - self.own_out[e]);
+        (waiting + (slots - free).max(0.0)).round()
     }
 }
 
 impl Dispatcher {
     pub fn new(values: NamedValues, seed: u64, now: Millis) -> Self {
-        let mut node = Dispatcher {
-            values,
-            rng: ChaCha8Rng::seed_from_u64(seed),
-            types: Vec::new(),
-            fleet: Fleet::default(),
-            wus: HashMap::new(),
-            held: Vec::new(),
-            touched: Vec::new(),
-            probes_wanted: Vec::new(),
-            wakes: BTreeSet::new(),
-            wake_set: f64::INFINITY,
-            log: Vec::new(),
-            place: PlaceId(0),
-            cross_priced: false,
-            draws: 2,
-            draws_at: now,
-            waiting_share: None,
-            probe_lag: None,
-            probe_lag_swing: 0.0,
-            follow_wanted: false,
-            follow_at: f64::INFINITY,
-            follow_failures: 0,
-        };
-        while node.values.contains_key(&format!("project_types.{}.hard_limit", node.types.len())) {
-            let own = |name: &str| format!("project_types.{}.{name}", node.types.len());
-            let turnaround = node.number(&own("promised_turnaround"), 1000.0);
-            let kind = node.number(&own("only_kind"), -1.0);
-            node.types.push(ProjectType {
-                effect: match node.text(&own("effect")) {
+        let mut types = Vec::new();
+        while values.holds(&format!("project_types.{}.hard_limit", types.len())) {
+            let own = |name: &str| format!("project_types.{}.{name}", types.len());
+            let number = |name: &str| values.number(&own(name), 0.0);
+            let kind = values.number(&own("only_kind"), -1.0);
+            types.push(ProjectType {
+                effect: match values.text(&own("effect")) {
                     "rerunnable" => Effect::Rerunnable,
                     "receipted" => Effect::Receipted,
                     _ => Effect::Exclusive,
                 },
-                scope: match node.text(&own("repeat_scope")) {
+                scope: match values.text(&own("repeat_scope")) {
                     "all" => RepeatScope::All,
                     "place" => RepeatScope::Place,
                     _ => RepeatScope::Group,
                 },
-                window: node.number(&own("window"), 0.0),
-                turnaround,
-                stretch: node.number(&own("stretch"), 0.0),
-                limit: node.number(&own("hard_limit"), 0.0),
-                credit: node.number(&own("credit"), 1.0),
+                window: number("window"),
+                turnaround: number("promised_turnaround"),
+                stretch: number("stretch"),
+                limit: number("hard_limit"),
+                credit: number("credit"),
                 only_kind: (kind >= 0.0).then_some(MachineKindId(kind as u32)),
-                run: turnaround,
+                run: number("promised_turnaround"),
                 runs_seen: 0,
             });
         }
-        node.place = PlaceId(node.number("place", 0.0) as u32);
-        node.cross_priced = node.number("prices.cross_place", 0.0) > 0.0;
-        if node.text("list_mode") == "asked" {
-            node.follow_wanted = true;
-            node.follow_at = now;
-        }
-        node
-    }
-
-    fn number(&self, name: &str, otherwise: f64) -> f64 {
-        match self.values.get(name) {
-            Some(Given::Number(n)) => *n,
-            _ => otherwise,
-        }
-    }
-
-    fn text(&self, name: &str) -> &str {
-        match self.values.get(name) {
-            Some(Given::Text(t)) => t,
-            _ => "",
+        let place = PlaceId(values.number("place", 0.0) as u32);
+        Dispatcher {
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            types,
+            cold: ColdRule {
+                share: values.number("rules.cold_share", 1.0),
+                ramp: values.number("rules.ramp_time", 0.0),
+                fall: values.number("rules.fall", 0.0),
+                part: values.number("rules.fall_multiple", 1.0) / values.number("nodes", 1.0).max(1.0),
+            },
+            most_allocs: values.number("limits.most_allocations", 1.0) as usize,
+            come_back_told: values.flag("limits.come_back_told"),
+            home: (values.number("prices.cross_place", 0.0) > 0.0).then_some(place),
+            fleet: Fleet::default(),
+            wus: HashMap::new(),
+            held: Vec::new(),
+            touched: Vec::new(),
+            probes_wanted: Vec::new(),
+            wakes: BTreeSet::new(),
+            wake_set: f64::INFINITY,
+            monitoring: Monitoring {
+                draws: 2,
+                at: now,
+                waiting_share: None,
+                lag: None,
+                lag_swing: 0.0,
+                price: values.number("prices.probe", 0.0),
+            },
+            following: Following {
+                ask_at: if values.text("list_mode") == "asked" { now } else { f64::INFINITY },
+                failures: 0,
+                ask_every: values.number("rules.ask_every", 10_000.0),
+            },
+            log: Vec::new(),
         }
     }
 
-    fn flag(&self, name: &str) -> bool {
-        matches!(self.values.get(name), Some(Given::Flag(true)))
-    }
-
     /// Takes in one event; what follows from it is emitted by the next `emit`.
     pub fn tell(&mut self, now: Millis, event: Event) {
         match event {
@@ -352,26 +347,26 @@
             Event::ListLost => {
                 // A failed call keeps the old list; waits grow with jitter so that nodes do not ask in step,
                 // and stay well inside the span after which a node counts as told.
-                self.follow_failures = (self.follow_failures + 1).min(6);
-                let longest = self.number("rules.ask_every", 10_000.0) / 4.0;
-                let wait = (100.0 * f64::powi(2.0, self.follow_failures as i32)).min(longest);
-                self.follow_at = now + wait * self.rng.random_range(0.5..1.0);
-                self.follow_wanted = true;
-                self.log.push(format!("list lost: failure {}, asking in {wait:.0} ms", self.follow_failures));
+                let f = &mut self.following;
+                f.failures = (f.failures + 1).min(6);
+                let wait = (100.0 * f64::powi(2.0, f.failures as i32)).min(f.ask_every / 4.0);
+                f.ask_at = now + wait * self.rng.random_range(0.5..1.0);
+                self.log.push(format!("list lost: failure {}, asking in {wait:.0} ms", f.failures));
             }
             Event::Arrived { wu, project_type, slots, left, .. } => {
-                if (project_type.0 as usize) < self.types.len() && !self.wus.contains_key(&wu) {
+                let project_type = project_type.0 as usize;
+                if project_type < self.types.len() && !self.wus.contains_key(&wu) {
                     let fresh = Wu {
-                        project_type: project_type.0 as usize,
+                        project_type,
                         slots: slots.max(1.0),
+                        asked: now + left - self.types[project_type].limit.max(left),
                         limit: now + left,
-                        wanted: Wanted::Held,
+                        wanted: Wanted::Probed,
                         allocs: Vec::new(),
                         drawn: Vec::new(),
                         answers: Vec::new(),
                         missing: 0,
                         draws: 0,
-                        asked: now + left - self.types[project_type.0 as usize].limit.max(left),
                         wake: f64::INFINITY,
                     };
                     self.wus.insert(wu, fresh);
@@ -379,7 +374,7 @@
                 }
             }
             Event::Probed { executor, answered, lag, reading } => {
-                self.on_probed(now, executor, answered, lag, reading)
+                self.on_probed(now, executor, answered.then_some((lag, reading)))
             }
             Event::Ended { wu, alloc, executor, outcome, closed, lag } => {
                 self.on_ended(now, wu, alloc, executor, outcome, closed, lag)
@@ -397,54 +392,55 @@
             && f64::from_bits(bits) <= now
         {
             self.wakes.remove(&(bits, wu));
-            self.on_wake(now, wu);
+            let Some(w) = self.wus.get_mut(&wu) else { continue };
+            w.wake = f64::INFINITY;
+            match w.wanted {
+                Wanted::Probed => self.choose(now, wu),
+                Wanted::Held => {
+                    w.draws = 0;
+                    self.draw(now, wu)
+                }
+                _ => {}
+            }
         }
     }
 
     fn on_list(&mut self, now: Millis, kind: ListKind, entries: &[Listing]) {
         if kind != ListKind::Changes {
-            self.fleet.phase.fill(Phase::Gone);
-        }
-        for entry in entries {
-            self.fleet.list(entry);
+            self.fleet.listed.iter_mut().for_each(|l| l.phase = Phase::Gone);
         }
-        if kind != ListKind::Saved {
-            if self.follow_failures > 0 {
-                self.log.push(format!("list back after {} failures", self.follow_failures));
-            }
-            self.follow_failures = 0;
+        entries.iter().for_each(|entry| self.fleet.list(entry));
+        if kind != ListKind::Saved && self.following.failures > 0 {
+            self.log.push(format!("list back after {} failures", self.following.failures));
+            self.following.failures = 0;
         }
         // A push decided in this very batch must not go to an executor that the list has just taken away.
         for wu in self.touched.clone() {
-            if let Some(Wanted::Out { executor, .. }) = self.wus.get(&wu).map(|w| w.wanted)
-                && self.pending(wu).is_none()
-                && self.fleet.phase[executor.0 as usize] != Phase::Healthy
+            let Some(w) = self.wus.get(&wu) else { continue };
+            if let Wanted::Out(executor, _) = w.wanted
+                && w.allocs.iter().all(|a| a.outcome.is_some())
+                && !self.fleet.healthy(executor)
             {
+                self.fleet.own_change(executor.0 as usize, now, -w.slots);
                 self.draw(now, wu);
             }
         }
     }
 
-    fn on_probed(
-        &mut self,
-        now: Millis,
-        executor: ExecutorId,
-        answered: bool,
-        lag: Millis,
-        reading: Reading,
-    ) {
+    fn on_probed(&mut self, now: Millis, executor: ExecutorId, answer: Option<(Millis, Reading)>) {
         let e = executor.0 as usize;
-        if e >= self.fleet.phase.len() {
+        if e >= self.fleet.listed.len() {
             return;
         }
         self.fleet.probe_out[e] = false;
-        if answered {
-            let was = *self.probe_lag.get_or_insert(lag);
-            self.probe_lag = Some(was + 0.05 * (lag - was));
-            self.probe_lag_swing += 0.05 * ((lag - was).abs() - self.probe_lag_swing);
-            let busy = if reading.queue.unwrap_or(0.0) >= 0.5 { 1.0 } else { 0.0 };
-            let share = *self.waiting_share.get_or_insert(0.25);
-            self.waiting_share = Some(share + ANSWER_WEIGHT * (busy - share));
+        if let Some((lag, reading)) = answer {
+            let m = &mut self.monitoring;
+            let was = *m.lag.get_or_insert(lag);
+            m.lag = Some(was + 0.05 * (lag - was));
+            m.lag_swing += 0.05 * ((lag - was).abs() - m.lag_swing);
+            let waiting = if reading.queue.unwrap_or(0.0) >= 0.5 { 1.0 } else { 0.0 };
+            let share = *m.waiting_share.get_or_insert(0.25);
+            m.waiting_share = Some(share + ANSWER_WEIGHT * (waiting - share));
             let running = reading.held.unwrap_or(0.0) - reading.queue.unwrap_or(0.0);
             let shown = reading.free_slots.unwrap_or(0.0) + running.max(0.0);
             self.fleet.slots[e] = self.fleet.slots[e].max(shown.round());
@@ -461,9 +457,7 @@
                 continue;
             }
             w.missing = w.missing.saturating_sub(1);
-            if answered {
-                w.answers.push((executor, reading));
-            }
+            w.answers.extend(answer.map(|(_, reading)| (executor, reading)));
             if w.missing == 0 {
                 self.choose(now, wu);
             }
@@ -481,23 +475,19 @@
         closed: bool,
         lag: Millis,
     ) {
-        match outcome {
-            Outcome::Completed | Outcome::NotSent | Outcome::Cancelled => {}
-            // Only executors that showed room are sent to; one that is full all the same reports wrongly.
-            Outcome::Full => self.fleet.add_distrust(executor.0 as usize, now, 1.0),
-            Outcome::Error => self.fleet.add_distrust(executor.0 as usize, now, 0.3),
-            Outcome::TimedOut | Outcome::NoConnection => {
-                self.fleet.add_distrust(executor.0 as usize, now, 1.0)
-            }
-            Outcome::Reset => self.fleet.add_distrust(executor.0 as usize, now, 2.0),
-        }
+        let e = executor.0 as usize;
         let Some(w) = self.wus.get_mut(&wu) else { return };
-        let Some(a) = w.allocs.get_mut(alloc.0 as usize) else { return };
+        let Some(a) = w.allocs.get_mut(alloc.0 as usize).filter(|a| a.outcome.is_none()) else { return };
         a.outcome = Some(outcome);
-        let slots = w.slots;
-        self.fleet.own_change(executor.0 as usize, now, -slots);
-        let Some(w) = self.wus.get_mut(&wu) else { return };
-        let Some(a) = w.allocs.get_mut(alloc.0 as usize) else { return };
+        self.fleet.own_change(e, now, -w.slots);
+        let distrust = match outcome {
+            Outcome::Completed | Outcome::NotSent | Outcome::Cancelled => 0.0,
+            Outcome::Error => 0.3,
+            // Only executors that showed room are sent to; one that is full all the same reports wrongly.
+            Outcome::Full | Outcome::TimedOut | Outcome::NoConnection => 1.0,
+            Outcome::Reset => 2.0,
+        };
+        self.fleet.add_distrust(e, now, distrust);
         if outcome == Outcome::Completed {
             let ran = a.started.map_or(lag, |s| now - s);
             let kind = &mut self.types[w.project_type];
@@ -506,7 +496,7 @@
         }
         if closed {
             self.forget(wu);
-        } else if w.allocs.iter().all(|a| a.outcome.is_some()) {
+        } else {
             self.draw(now, wu);
         }
         if outcome == Outcome::Completed {
@@ -514,24 +504,15 @@
         }
     }
 
-    fn on_wake(&mut self, now: Millis, wu: WuId) {
-        let Some(w) = self.wus.get_mut(&wu) else { return };
-        w.wake = f64::INFINITY;
-        match w.wanted {
-            Wanted::Probed => self.choose(now, wu),
-            Wanted::Held => {
-                w.draws = 0;
-                self.draw(now, wu)
-            }
-            _ => {}
-        }
-    }
-
     fn forget(&mut self, wu: WuId) {
-        if let Some(w) = self.wus.remove(&wu) {
-            self.held.retain(|&h| h != wu);
-            self.wakes.remove(&(w.wake.to_bits(), wu));
+        let Some(w) = self.wus.remove(&wu) else { return };
+        // An allocation that is still out has its slots counted until its reading shows otherwise, not for ever.
+        if let Some(a) = w.allocs.last().filter(|a| a.outcome.is_none()) {
+            let out = &mut self.fleet.own_out[a.executor.0 as usize];
+            *out = (*out - w.slots).max(0.0);
         }
+        self.held.retain(|&h| h != wu);
+        self.wakes.remove(&(w.wake.to_bits(), wu));
     }
 
     fn want(&mut self, wu: WuId, wanted: Wanted, wake: Millis) {
@@ -543,18 +524,13 @@
         if wanted == Wanted::Held {
             self.held.push(wu);
         }
-        w.wanted = wanted;
-        w.wake = wake;
+        (w.wanted, w.wake) = (wanted, wake);
         if wake.is_finite() {
             self.wakes.insert((wake.to_bits(), wu));
         }
         self.touched.push(wu);
     }
 
-    fn pending(&self, wu: WuId) -> Option<&Alloc> {
-        self.wus.get(&wu)?.allocs.last().filter(|a| a.outcome.is_none())
-    }
-
     /// The one place that says whether and where a work unit may be sent again, and (second) whether a deferral,
     /// which promises that asking again is harmless, may be given.
     fn may_resend(&self, now: Millis, w: &Wu) -> (Resend, bool) {
@@ -562,40 +538,32 @@
         let Some(first) = w.allocs.iter().find(|a| !a.outcome.is_some_and(Outcome::never_ran)) else {
             return (Resend::Anywhere, true);
         };
+        let all = kind.scope == RepeatScope::All;
         match kind.effect {
             Effect::Rerunnable => (Resend::Anywhere, true),
             Effect::Exclusive => (Resend::Never, false),
-            Effect::Receipted => {
-                let in_window = now - first.sent <= kind.window * WINDOW_MARGIN;
-                let all = kind.scope == RepeatScope::All;
-                let to = match (in_window, all) {
-                    (false, _) => Resend::Never,
-                    (true, true) => Resend::Anywhere,
-                    (true, false) => Resend::LikeExecutor(first.executor),
-                };
-                (to, all)
-            }
+            Effect::Receipted if now - first.sent > kind.window * WINDOW_MARGIN => (Resend::Never, all),
+            Effect::Receipted if all => (Resend::Anywhere, all),
+            Effect::Receipted => (Resend::Like(first.executor), all),
         }
     }
 
     /// Gives up: the answer goes out with this very batch.
     fn give_up(&mut self, now: Millis, wu: WuId) {
         let Some(w) = self.wus.get(&wu) else { return };
-        let wanted = if self.may_resend(now, w).1 {
-            let kind = &self.types[w.project_type];
-            Wanted::Deferred(self.flag("limits.come_back_told").then_some(kind.turnaround))
-        } else {
-            Wanted::Aborted
+        let turnaround = self.types[w.project_type].turnaround;
+        let wanted = match self.may_resend(now, w).1 {
+            true => Wanted::Deferred(self.come_back_told.then_some(turnaround)),
+            false => Wanted::Aborted,
         };
         self.want(wu, wanted, f64::INFINITY);
     }
 
     /// 1 for a warm executor, less while it may still be cold; the slowest ramp is assumed.
     fn warmth(&self, e: usize, at: Millis) -> f64 {
-        let cold = self.number("rules.cold_share", 1.0);
-        let ramp = self.number("rules.ramp_time", 0.0);
-        match self.fleet.started[e] {
-            Some(start) if at < start + ramp => cold + (1.0 - cold) * ((at - start) / ramp).max(0.0),
+        let ColdRule { share, ramp, .. } = self.cold;
+        match self.fleet.listed[e].started {
+            Some(start) if at < start + ramp => share + (1.0 - share) * ((at - start) / ramp).max(0.0),
             _ => 1.0,
         }
     }
@@ -603,13 +571,12 @@
     /// What this node has left of an executor's cold budget, in slot-milliseconds; it holds one part in as many as
     /// there are nodes, so that all together stay under the whole without a word between them.
     fn cold_room(&mut self, e: usize, now: Millis) -> f64 {
-        let fall = self.number("rules.fall", 0.0);
+        let fall = self.cold.fall;
         let warm_then = self.warmth(e, now - fall);
         if warm_then >= 1.0 {
             return f64::INFINITY;
         }
-        let part = self.number("rules.fall_multiple", 1.0) / self.number("nodes", 1.0).max(1.0);
-        let budget = COLD_HEADROOM * part * warm_then * self.fleet.slots_of(e) * fall;
+        let budget = COLD_HEADROOM * self.cold.part * warm_then * self.fleet.slots_of(e) * fall;
         let spent = &mut self.fleet.cold_spent[e];
         while spent.front().is_some_and(|&(at, _)| at < now - fall) {
             spent.pop_front();
@@ -625,61 +592,61 @@
     fn legal(&mut self, now: Millis, wu: WuId) -> Vec<ExecutorId> {
         let Some(w) = self.wus.get(&wu) else { return Vec::new() };
         let (resend, _) = self.may_resend(now, w);
-        let (kind, cost) = (w.project_type, self.cost(w));
-        let mut legal = Vec::with_capacity(self.fleet.phase.len());
-        for e in 0..self.fleet.phase.len() {
-            let same_scope = match resend {
+        let (cost, kind) = (self.cost(w), &self.types[w.project_type]);
+        let (only_kind, scope) = (kind.only_kind, kind.scope);
+        let all = (0..self.fleet.listed.len() as u32).map(ExecutorId);
+        let allowed = |this: &mut Self, x: ExecutorId| {
+            let listed = this.fleet.listed[x.0 as usize];
+            let in_scope = match resend {
                 Resend::Anywhere => true,
                 Resend::Never => false,
-                Resend::LikeExecutor(o) => match self.types[kind].scope {
-                    RepeatScope::Place => self.fleet.place[e] == self.fleet.place[o.0 as usize],
-                    _ => self.fleet.group[e] == self.fleet.group[o.0 as usize],
-                },
+                Resend::Like(o) if scope == RepeatScope::Place => {
+                    listed.place == this.fleet.listed[o.0 as usize].place
+                }
+                Resend::Like(o) => listed.group == this.fleet.listed[o.0 as usize].group,
             };
-            let able = self.types[kind].only_kind.is_none_or(|k| k == self.fleet.kind[e]);
-            if same_scope && able && self.fleet.phase[e] == Phase::Healthy && self.cold_room(e, now) >= cost {
-                legal.push(ExecutorId(e as u32));
-            }
-        }
-        legal
+            listed.phase == Phase::Healthy
+                && in_scope
+                && only_kind.is_none_or(|k| k == listed.kind)
+                && this.cold_room(x.0 as usize, now) >= cost
+        };
+        all.filter(|&x| allowed(self, x)).collect()
     }
 
     /// Of the legal ones those that chance lets through, by warmth and by trust; never empty where any is legal.
-    fn ready(&mut self, now: Millis, legal: &[ExecutorId]) -> Vec<ExecutorId> {
-        let mut ready = Vec::with_capacity(legal.len());
-        for &executor in legal {
-            let e = executor.0 as usize;
+    fn ready(&mut self, now: Millis, legal: Vec<ExecutorId>) -> Vec<ExecutorId> {
+        let mut ready = legal.clone();
+        ready.retain(|x| {
+            let e = x.0 as usize;
             let chance = self.warmth(e, now) * (-self.fleet.distrust(e, now)).exp();
-            if chance > 0.98 || self.rng.random::<f64>() < chance {
-                ready.push(executor);
-            }
-        }
-        if ready.is_empty() { legal.to_vec() } else { ready }
+            chance > 0.98 || self.rng.random::<f64>() < chance
+        });
+        if ready.is_empty() { legal } else { ready }
     }
 
     /// Draws d ready executors with replacement and wants a probe to each distinct one.
     fn draw(&mut self, now: Millis, wu: WuId) {
         let Some(w) = self.wus.get(&wu) else { return };
-        let most = self.number("limits.most_allocations", 1.0) as usize;
-        if now >= w.limit || w.allocs.len() >= most || self.may_resend(now, w).0 == Resend::Never {
+        if now >= w.limit || w.allocs.len() >= self.most_allocs || self.may_resend(now, w).0 == Resend::Never
+        {
             return self.give_up(now, wu);
         }
         let mut legal = self.legal(now, wu);
         let Some(w) = self.wus.get(&wu) else { return };
         let refused = |x: &ExecutorId| w.allocs.iter().any(|a| a.executor == *x);
-        if legal.iter().any(|x| !refused(x)) {
-            legal.retain(|x| !refused(x));
+        let seen = |x: &ExecutorId| w.draws == 1 && w.drawn.contains(x);
+        for passed_over in [&refused as &dyn Fn(&ExecutorId) -> bool, &seen] {
+            if legal.iter().any(|x| !passed_over(x)) {
+                legal.retain(|x| !passed_over(x));
+            }
         }
         if legal.is_empty() {
             return self.hold(now, wu);
         }
-        if w.draws == 1 && legal.iter().any(|x| !w.drawn.contains(x)) {
-            legal.retain(|x| !w.drawn.contains(x));
-        }
-        let ready = self.ready(now, &legal);
+        let ready = self.ready(now, legal);
         self.recompute_draws(now);
-        let mut drawn: Vec<ExecutorId> = Vec::with_capacity(self.draws as usize);
-        for _ in 0..self.draws {
+        let mut drawn: Vec<ExecutorId> = Vec::with_capacity(self.monitoring.draws as usize);
+        for _ in 0..self.monitoring.draws {
             let pick = ready[self.rng.random_range(0..ready.len())];
             if !drawn.contains(&pick) {
                 drawn.push(pick);
@@ -700,7 +667,7 @@
             }
         }
         // The wait for probes is bounded by what probes usually take; a deep probe may queue like a work unit.
-        let wait = 4.0 * self.probe_lag.unwrap_or(25.0) + 4.0 * self.probe_lag_swing + 5.0;
+        let wait = 4.0 * self.monitoring.lag.unwrap_or(25.0) + 4.0 * self.monitoring.lag_swing + 5.0;
         let Some(w) = self.wus.get_mut(&wu) else { return };
         w.missing = drawn.len();
         w.drawn = drawn;
@@ -710,31 +677,24 @@
         self.want(wu, Wanted::Probed, wake);
     }
 
-    /// With all answers in, or the wait for them over: the shortest queue of those drawn, ties at random.
+    /// With all answers in, or the wait for them over: the shortest queue of those drawn. Among equal ones the
+    /// node's own place comes first where crossing is priced, then the least own work out, then chance.
     fn choose(&mut self, now: Millis, wu: WuId) {
         let legal = self.legal(now, wu);
         let Some(w) = self.wus.get(&wu) else { return };
         let mut best: Vec<ExecutorId> = Vec::new();
         let mut least = (f64::INFINITY, true, 0.0);
-        for (executor, reading) in &w.answers {
-            if !legal.contains(executor) {
-                continue;
-            }
+        for (executor, reading) in w.answers.iter().filter(|(x, _)| legal.contains(x)) {
             let e = executor.0 as usize;
-            let unseen = self.fleet.unseen(e, now);
-            let free = reading.free_slots.unwrap_or(0.0);
-            // Guards against readings that come late or stand still: what this node has out there is there.
-            let free = (free - unseen).min(self.fleet.slots_of(e) - self.fleet.own_out[e]);
-            let short = reading.free_slots.map_or(0.0, |_| (w.slots - free).max(0.0));
-            let queue = (reading.queue.or(reading.held).unwrap_or(0.0) + short).round();
-            let crossed = self.cross_priced && self.fleet.place[e] != self.place;
+            let crossed = self.home.is_some_and(|home| self.fleet.listed[e].place != home);
+            // Guards against the herd of all nodes on a late reading: what is out of its own, a node knows.
             let own = self.fleet.own_out[e] / self.fleet.slots_of(e);
-            let rank = (queue, crossed, own);
+            let rank = (self.fleet.queue_for(e, now, w.slots, reading), crossed, own);
             if rank < least {
                 least = rank;
                 best.clear();
             }
-            if rank <= least {
+            if rank == least {
                 best.push(*executor);
             }
         }
@@ -743,13 +703,19 @@
             if w.draws < 2 || legal.is_empty() {
                 return self.draw(now, wu);
             }
-            best = self.ready(now, &legal);
+            best = self.ready(now, legal);
         } else if least.0 >= 0.5 {
             // Every answer is long: one more draw, then a short hold. What is pushed into a queue cannot be moved.
             return if w.draws < 2 { self.draw(now, wu) } else { self.hold(now, wu) };
         }
-        let pick = best[self.rng.random_range(0..best.len())];
-        self.push_to(now, wu, pick);
+        let executor = best[self.rng.random_range(0..best.len())];
+        let Some(w) = self.wus.get(&wu) else { return };
+        let (cut_at, slots, cost, e) = (w.limit, w.slots, self.cost(w), executor.0 as usize);
+        if self.warmth(e, now - self.cold.fall) < 1.0 {
+            self.fleet.cold_spent[e].push_back((now, cost));
+        }
+        self.fleet.own_change(e, now, slots);
+        self.want(wu, Wanted::Out(executor, cut_at), f64::INFINITY);
     }
 
     /// Holds a work unit for as long as it may still end within its promised turnaround, then gives it up at once.
@@ -766,40 +732,23 @@
 
     /// An own allocation has ended, so there is room: the held work unit that earns most for its work asks there.
     fn room_at(&mut self, now: Millis, executor: ExecutorId) {
-        let earns = |w: &Wu| self.types[w.project_type].credit / self.cost(w).max(1e-3);
-        let mut best: Option<(WuId, f64)> = None;
-        for &wu in &self.held {
-            let worth = earns(&self.wus[&wu]);
-            if best.is_none_or(|(_, most)| worth > most) {
-                best = Some((wu, worth));
-            }
-        }
-        let Some((wu, _)) = best else { return };
+        let earns = |wu: &WuId| {
+            let w = &self.wus[wu];
+            self.types[w.project_type].credit / self.cost(w).max(1e-3)
+        };
+        // The first of equals is wanted, so the search goes from the newest to the longest held.
+        let best = self.held.iter().rev().max_by(|a, b| earns(a).total_cmp(&earns(b))).copied();
+        let Some(wu) = best else { return };
         if self.legal(now, wu).contains(&executor) {
             self.probe(now, wu, vec![executor]);
         }
     }
 
-    fn push_to(&mut self, now: Millis, wu: WuId, executor: ExecutorId) {
-        let Some(w) = self.wus.get(&wu) else { return };
-        let e = executor.0 as usize;
-        let fall = self.number("rules.fall", 0.0);
-        if self.warmth(e, now - fall) < 1.0 {
-            let cost = self.cost(w);
-            self.fleet.cold_spent[e].push_back((now, cost));
-        }
-        let (cut_at, slots) = (w.limit, w.slots);
-        self.fleet.own_change(e, now, slots);
-        self.want(wu, Wanted::Out { executor, cut_at }, f64::INFINITY);
-    }
-
     /// Works out d anew now and then.
     fn recompute_draws(&mut self, now: Millis) {
-        let Some(share) = self.waiting_share else { return };
-        if now - self.draws_at < RECOMPUTE_EVERY {
-            return;
-        }
-        self.draws_at = now;
+        let m = &mut self.monitoring;
+        let Some(share) = m.waiting_share.filter(|_| now - m.at >= RECOMPUTE_EVERY) else { return };
+        m.at = now;
         let seen: f64 = self.types.iter().map(|t| t.runs_seen as f64).sum();
         let run = self.types.iter().map(|t| t.run * t.runs_seen as f64).sum::<f64>() / seen.max(1.0);
         if run <= 0.0 {
@@ -807,26 +756,25 @@
         }
         // The design's C, probe latency over running time, and what the settings charge for a probe as a share of
         // what a work unit earns.
-        let cost = self.probe_lag.unwrap_or(0.0) / run + self.number("prices.probe", 0.0);
-        let draws = best_draws(share, self.draws, cost, MOST_DRAWS).unwrap_or(2);
-        if draws != self.draws {
-            self.log.push(format!("d {} to {draws}: waiting share {share:.3}, C {cost:.4}", self.draws));
-            self.draws = draws;
+        let cost = m.lag.unwrap_or(0.0) / run + m.price;
+        let draws = best_draws(share, m.draws, cost, MOST_DRAWS).unwrap_or(2);
+        if draws != m.draws {
+            self.log.push(format!("d {} to {draws}: waiting share {share:.3}, C {cost:.4}", m.draws));
+            m.draws = draws;
         }
     }
 
     /// The difference between what is wanted and what is out, held and timed; the only place that acts.
     pub fn emit(&mut self, now: Millis, actions: &mut Vec<Action>) {
-        if self.follow_wanted && self.follow_at <= now {
-            self.follow_wanted = false;
-            self.follow_at = f64::INFINITY;
+        if self.following.ask_at <= now {
+            self.following.ask_at = f64::INFINITY;
             actions.push(Action::FollowList);
         }
         for wu in std::mem::take(&mut self.touched) {
             let Some(w) = self.wus.get_mut(&wu) else { continue };
             match w.wanted {
                 Wanted::Probed | Wanted::Held => {}
-                Wanted::Out { executor, cut_at } => {
+                Wanted::Out(executor, cut_at) => {
                     if w.allocs.last().is_none_or(|a| a.outcome.is_some()) {
                         w.allocs.push(Alloc { executor, sent: now, started: None, outcome: None });
                         actions.push(Action::Push { wu, executor, cut_at });
@@ -850,7 +798,7 @@
             }
         }
         let first = self.wakes.first().map_or(f64::INFINITY, |&(bits, _)| f64::from_bits(bits));
-        let wake = first.min(self.follow_at);
+        let wake = first.min(self.following.ask_at);
         if wake < self.wake_set {
             self.wake_set = wake;
             actions.push(Action::Wake { at: wake });
--- a/src/terms.rs
+++ b/src/terms.rs
@@ -44,7 +44,37 @@
 }
 
 /// What the host was told at the start, by dotted names such as `project_types.0.hard_limit`.
-pub type NamedValues = BTreeMap<String, Given>;
+#[derive(Clone, PartialEq, Default, Debug)]
+pub struct NamedValues(BTreeMap<String, Given>);
+
+impl NamedValues {
+    pub fn insert(&mut self, name: impl Into<String>, given: Given) {
+        self.0.insert(name.into(), given);
+    }
+
+    pub fn holds(&self, name: &str) -> bool {
+        self.0.contains_key(name)
+    }
+
+    pub fn number(&self, name: &str, otherwise: f64) -> f64 {
+        match self.0.get(name) {
+            Some(Given::Number(n)) => *n,
+            _ => otherwise,
+        }
+    }
+
+    /// Empty where the name is not given.
+    pub fn text(&self, name: &str) -> &str {
+        match self.0.get(name) {
+            Some(Given::Text(text)) => text,
+            _ => "",
+        }
+    }
+
+    pub fn flag(&self, name: &str) -> bool {
+        matches!(self.0.get(name), Some(Given::Flag(true)))
+    }
+}
 
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub enum Phase {
--- a/tests/helpers/mod.rs
+++ b/tests/helpers/mod.rs
@@ -9,7 +9,7 @@
 
 /// Project types by number: 0 rerunnable, 1 receipted for all, 2 receipted in a group, 3 exclusive.
 pub fn node(nodes: f64) -> Node {
-    let mut values = NamedValues::new();
+    let mut values = NamedValues::default();
     let kinds = [("rerunnable", ""), ("receipted", "all"), ("receipted", "group"), ("exclusive", "")];
     for (k, (effect, scope)) in kinds.iter().enumerate() {
         let own = |name: &str| format!("project_types.{k}.{name}");
@@ -32,9 +32,9 @@
         ("rules.fall_multiple", 4.0),
         ("rules.ask_every", 10_000.0),
     ] {
-        values.insert(name.into(), Given::Number(n));
+        values.insert(name, Given::Number(n));
     }
-    values.insert("limits.come_back_told".into(), Given::Flag(true));
+    values.insert("limits.come_back_told", Given::Flag(true));
     with(values)
 }
 
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -147,9 +147,9 @@
 
 #[test]
 fn a_lost_list_is_asked_for_again_inside_the_span() {
-    let mut values = NamedValues::new();
-    values.insert("list_mode".into(), Given::Text("asked".into()));
-    values.insert("rules.ask_every".into(), Given::Number(4000.0));
+    let mut values = NamedValues::default();
+    values.insert("list_mode", Given::Text("asked".into()));
+    values.insert("rules.ask_every", Given::Number(4000.0));
     let mut node = with(values);
     assert!(node.emit().contains(&Action::FollowList));
     node.warm(2);
