--- a/src/rules.rs
+++ b/src/rules.rs
@@ -20,8 +20,14 @@
 const MOST_DRAWS: u32 = 3;
 /// How long a reading may have been under way when it is first seen.
 const READING_DELAY: Millis = 40.0;
-/// A reading that still looks the same after this is taken to be made anew.
-const READING_LIFE: Millis = 400.0;
+/// A reading that still looks the same after this is taken to be made anew; one that does not yet show what has
+/// been out for longer is late.
+const READING_LIFE: Millis = 500.0;
+/// Readings count as late from this share of answers that lack own work known to be there, and for so long after.
+const LATE_SHARE: f64 = 0.02;
+const LATE_FOR: Millis = 5000.0;
+/// With late readings a node takes so many times its even part of an executor's slots before it sees no room.
+const LATE_PART: f64 = 2.0;
 /// Distrust fades by this time constant.
 const DISTRUST_FADE: Millis = 4000.0;
 /// Part of the cold budget that is used: running times are heavy-tailed and only learned means are known.
@@ -82,6 +88,15 @@
     own_changes: Vec<VecDeque<(Millis, f64)>>,
     /// Slots of this node's allocations that are out.
     own_out: Vec<f64>,
+    /// Smoothed slots in use at probed executors: this node's, and all that are shown.
+    own_in_use: f64,
+    shown_in_use: f64,
+    /// How old a reading may be before it is worth less than own counts: what it shows has mostly ended by then.
+    worth_for: Millis,
+    /// Smoothed share of readings that lacked own work known to be there, and the mode that follows from it.
+    late_share: f64,
+    late: bool,
+    late_until: Millis,
     /// Work units that wait for the probe that is wanted or out.
     awaiting: Vec<Vec<WuId>>,
     probe_out: Vec<bool>,
@@ -236,7 +251,7 @@
 
     fn own_change(&mut self, e: usize, now: Millis, slots: f64) {
         let changes = &mut self.own_changes[e];
-        while changes.front().is_some_and(|&(at, _)| at < now - READING_LIFE) {
+        while changes.front().is_some_and(|&(at, _)| at < now - self.worth_for.max(READING_LIFE)) {
             changes.pop_front();
         }
         changes.push_back((now, slots));
@@ -250,6 +265,28 @@
         self.own_changes[e].iter().filter(|&&(at, _)| at >= since).map(|&(_, slots)| slots).sum()
     }
 
+    /// Guards against readings that come seconds late, which draw all nodes to the same executors: one that shows
+    /// less in use than this node alone has had out there for long cannot be of now.
+    fn judge_reading(&mut self, e: usize, now: Millis, reading: &Reading) -> Option<String> {
+        // In slots where they are shown: work units may take more than one.
+        let used = reading.free_slots.map(|free| self.slots[e] - free + reading.queue.unwrap_or(0.0));
+        let used = used.or(reading.held).unwrap_or(f64::INFINITY).max(0.0);
+        let fresh =
+            self.own_changes[e].iter().filter(|&&(at, slots)| at >= now - self.worth_for && slots > 0.0);
+        let own_old = self.own_out[e] - fresh.map(|&(_, slots)| slots).sum::<f64>();
+        let lacks = if own_old > 1.25 * used + 0.5 { 1.0 } else { 0.0 };
+        self.late_share += ANSWER_WEIGHT * (lacks - self.late_share);
+        self.own_in_use += ANSWER_WEIGHT * (self.own_out[e].min(used) - self.own_in_use);
+        self.shown_in_use += ANSWER_WEIGHT * (used - self.shown_in_use);
+        if self.late_share > LATE_SHARE {
+            self.late_until = now + LATE_FOR;
+        }
+        let change = self.late != (now < self.late_until);
+        self.late = now < self.late_until;
+        change
+            .then(|| format!("readings late: {}, {:.3} of answers lack own work", self.late, self.late_share))
+    }
+
     /// Slots of an executor: as its reports show, else the least that any of its kind, then any at all, has shown.
     fn slots_of(&self, e: usize) -> f64 {
         if self.slots[e] > 0.0 {
@@ -269,6 +306,11 @@
     fn queue_for(&self, e: usize, now: Millis, slots: f64, reading: &Reading) -> f64 {
         let waiting = reading.queue.or(reading.held).unwrap_or(0.0);
         let Some(free) = reading.free_slots else { return waiting.round() };
+        if self.late {
+            let part = (self.own_in_use / self.shown_in_use.max(1e-9)).clamp(0.05, 1.0);
+            let allowed = (LATE_PART * part * self.slots_of(e)).max(slots);
+            return (self.own_out[e] + slots - allowed).max(0.0).round();
+        }
         // Guards against readings that come late or stand still: what this node has out there is there.
         let free = (free - self.unseen(e, now)).min(self.slots_of(e) - self.own_out[e]);
         (waiting + (slots - free).max(0.0)).round()
@@ -316,7 +358,7 @@
             most_allocs: values.number("limits.most_allocations", 1.0) as usize,
             come_back_told: values.flag("limits.come_back_told"),
             home: (values.number("prices.cross_place", 0.0) > 0.0).then_some(place),
-            fleet: Fleet::default(),
+            fleet: Fleet { worth_for: READING_LIFE, ..Fleet::default() },
             wus: HashMap::new(),
             held: Vec::new(),
             touched: Vec::new(),
@@ -444,6 +486,8 @@
             let running = reading.held.unwrap_or(0.0) - reading.queue.unwrap_or(0.0);
             let shown = reading.free_slots.unwrap_or(0.0) + running.max(0.0);
             self.fleet.slots[e] = self.fleet.slots[e].max(shown.round());
+            let mode = self.fleet.judge_reading(e, now, &reading);
+            self.log.extend(mode);
             if self.fleet.reading[e] != reading {
                 self.fleet.reading[e] = reading;
                 self.fleet.read_at[e] = now;
@@ -754,6 +798,7 @@
         if run <= 0.0 {
             return;
         }
+        self.fleet.worth_for = READING_LIFE.max(run);
         // The design's C, probe latency over running time, and what the settings charge for a probe as a share of
         // what a work unit earns.
         let cost = m.lag.unwrap_or(0.0) / run + m.price;
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -225,3 +225,27 @@
         );
     }
 }
+
+/// Readings that lack work which this node has had out for long are late; own counts rank from then on.
+#[test]
+fn late_readings_are_told_by_own_work_they_lack() {
+    let mut node = node(2.0);
+    node.warm(2);
+    let mut out = [0, 0];
+    let mut told = false;
+    for _ in 0..40 {
+        node.now += 700.0;
+        let (_, actions) = node.arrive(1);
+        // Both always show themselves empty.
+        let actions = node.answer(actions, |_| 0.0);
+        told |=
+            actions.iter().any(|a| matches!(a, Action::Log(line) if line.starts_with("readings late: true")));
+        if let Some(executor) = push_of(&actions) {
+            out[executor.0 as usize] += 1;
+        }
+        if told {
+            break;
+        }
+    }
+    assert!(told && out.iter().all(|&n| n <= 4), "spread by own counts: {out:?}");
+}
