--- a/src/rules.rs
+++ b/src/rules.rs
@@ -35,7 +35,7 @@
 /// A receipted work unit is resent only this part into its window, for the way there and clocks that differ.
 const WINDOW_MARGIN: f64 = 0.8;
 /// A held work unit draws again after this part of its patience.
-const HOLD_PART: f64 = 0.25;
+const HOLD_PART: f64 = 0.5;
 
 #[derive(Clone, Copy, PartialEq, Eq)]
 enum Effect {
@@ -439,7 +439,7 @@
             match w.wanted {
                 Wanted::Probed => self.choose(now, wu),
                 Wanted::Held => {
-                    w.draws = 0;
+                    w.draws = 1;
                     self.draw(now, wu)
                 }
                 _ => {}
