--- a/src/rules.rs
+++ b/src/rules.rs
@@ -750,7 +750,8 @@
             best = self.ready(now, legal);
         } else if least.0 >= 0.5 {
             // Every answer is long: one more draw, then a short hold. What is pushed into a queue cannot be moved.
-            return if w.draws < 2 { self.draw(now, wu) } else { self.hold(now, wu) };
+            let again = w.draws < 2 && self.held.is_empty();
+            return if again { self.draw(now, wu) } else { self.hold(now, wu) };
         }
         let executor = best[self.rng.random_range(0..best.len())];
         let Some(w) = self.wus.get(&wu) else { return };
