--- a/crates/wirehost/src/host.rs
+++ b/crates/wirehost/src/host.rs
@@ -169,7 +169,8 @@
                 let w: decode::Withdrawn = decode::parse(line)?;
                 self.tell(w.i, now, |_| Event::Withdrawn { wu: w.call });
             }
-            // Other ops, messages between instances among them, are not for us; they must be JSON all the same.
+            // Other ops, messages between instances among them, are not for us; they must be JSON all the
+            // same.
             _ => {
                 decode::parse::<serde::de::IgnoredAny>(line)?;
             }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,7 +1,7 @@
 //! Decisions of a dispatcher that pushes work units to executors: sans-IO, clockless, one instance a node.
 //!
-//! [`rules`] holds every decision, [`terms`] the words spoken with it. A host makes a [`Dispatcher`] from named
-//! values, a seed and the time, tells it events and carries out the actions that it emits:
+//! [`rules`] holds every decision, [`terms`] the words spoken with it. A host makes a [`Dispatcher`] from
+//! named values, a seed and the time, tells it events and carries out the actions that it emits:
 //!
 //! ```
 //! use troutknot::{Action, Dispatcher, Event, Given, NamedValues};
@@ -14,9 +14,9 @@
 //! assert!(actions.is_empty());
 //! ```
 //!
-//! Room is left, by boundaries alone, for other hosts: the operators' own protocol, IPP, a follower of Consul's
-//! catalogue, and a test and rehearsal kit. Each would be a crate beside `crates/wirehost` that drives the same
-//! [`Dispatcher`].
+//! Room is left, by boundaries alone, for other hosts: the operators' own protocol, IPP, a follower of
+//! Consul's catalogue, and a test and rehearsal kit. Each would be a crate beside `crates/wirehost` that
+//! drives the same [`Dispatcher`].
 
 pub mod rules;
 pub mod terms;
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -1,10 +1,11 @@
 //! Every decision of the dispatcher.
 //!
-//! How to call it: `Dispatcher::new(values, seed, now)`, then `tell(now, event)` for each event of a moment and one
-//! `emit(now, &mut actions)` after them. `tell` only changes what is wanted; `emit` alone works out the difference
-//! to what is out, held and timed. The interface (events, actions, ids) stands in `terms.rs`.
+//! How to call it: `Dispatcher::new(values, seed, now)`, then `tell(now, event)` for each event of a moment
+//! and one `emit(now, &mut actions)` after them. `tell` only changes what is wanted; `emit` alone works out
+//! the difference to what is out, held and timed. The interface (events, actions, ids) stands in `terms.rs`.
 //!
-//! Order of reading: what is known (`ProjectType`, `Fleet`, `Wu`), `tell`, `draw`, `choose`, the rules, `emit`.
+//! Order of reading: what is known (`ProjectType`, `Fleet`, `Wu`), `tell`, `draw`, `choose`, the rules,
+//! `emit`.
 use crate::terms::*;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -16,24 +17,30 @@
 const RUN_WEIGHT: f64 = 0.03;
 /// How often d is worked out anew.
 const RECOMPUTE_EVERY: Millis = 1000.0;
-/// The most draws that are tried; with several slots an executor rarely makes a work unit wait, and probes cost.
+/// The most draws that are tried; with several slots an executor rarely makes a work unit wait, and probes
+/// cost.
 const MOST_DRAWS: u32 = 3;
 /// How long a reading may have been under way when it is first seen.
 const READING_DELAY: Millis = 40.0;
-/// A reading that still looks the same after this is taken to be made anew; one that does not yet show what has
-/// been out for longer is late.
+/// A reading that still looks the same after this is taken to be made anew; one that does not yet show what
+/// has been out for longer is late.
 const READING_LIFE: Millis = 500.0;
-/// Readings count as late from this share of answers that lack own work known to be there, and for so long after.
+/// Readings count as late from this share of answers that lack own work known to be there, and for so long
+/// after.
 const LATE_SHARE: f64 = 0.02;
 const LATE_FOR: Millis = 5000.0;
-/// With late readings a node takes so many times its even part of an executor's slots before it sees no room.
-const LATE_PART: f64 = 2.0;
 /// Distrust fades by this time constant.
 const DISTRUST_FADE: Millis = 4000.0;
 /// Part of the cold budget that is used: running times are heavy-tailed and only learned means are known.
 const COLD_HEADROOM: f64 = 0.5;
 /// A receipted work unit is resent only this part into its window, for the way there and clocks that differ.
 const WINDOW_MARGIN: f64 = 0.8;
+/// Weight of one running time in how slow an executor is, the time in which that fades, the excess (in
+/// logarithms) that chance alone may bring, and how strongly what is over it counts as distrust.
+const SLOW_WEIGHT: f64 = 0.15;
+const SLOW_FADE: Millis = 10000.0;
+const SLOW: f64 = 0.4;
+const SLOW_DISTRUST: f64 = 8.0;
 /// A held work unit draws again after this part of its patience.
 const HOLD_PART: f64 = 0.5;
 
@@ -62,6 +69,8 @@
     only_kind: Option<MachineKindId>,
     /// Smoothed running time; the promised turnaround stands in until an allocation has ended.
     run: Millis,
+    /// The same for its logarithm, which long tails sway less.
+    log_run: f64,
     runs_seen: u32,
 }
 
@@ -79,6 +88,8 @@
 struct Fleet {
     listed: Vec<Listing>,
     distrust: Vec<(f64, Millis)>,
+    /// Smoothed logarithm of running times over the usual of their project type, and when it was learned.
+    slower: Vec<(f64, Millis)>,
     /// The most slots that reports have shown.
     slots: Vec<f64>,
     reading: Vec<Reading>,
@@ -88,10 +99,8 @@
     own_changes: Vec<VecDeque<(Millis, f64)>>,
     /// Slots of this node's allocations that are out.
     own_out: Vec<f64>,
-    /// Smoothed slots in use at probed executors: this node's, and all that are shown.
-    own_in_use: f64,
-    shown_in_use: f64,
-    /// How old a reading may be before it is worth less than own counts: what it shows has mostly ended by then.
+    /// How old a reading may be before it is worth less than own counts: what it shows has mostly ended by
+    /// then.
     worth_for: Millis,
     /// Smoothed share of readings that lacked own work known to be there, and the mode that follows from it.
     late_share: f64,
@@ -112,9 +121,10 @@
     outcome: Option<Outcome>,
 }
 
-#[derive(Clone, Copy, PartialEq)]
+#[derive(Clone, Copy, PartialEq, Default)]
 enum Wanted {
     /// Probes are wanted or out for what was drawn.
+    #[default]
     Probed,
     Out(ExecutorId, Millis),
     Held,
@@ -122,6 +132,7 @@
     Aborted,
 }
 
+#[derive(Default)]
 struct Wu {
     project_type: usize,
     slots: f64,
@@ -206,8 +217,8 @@
     }
 }
 
-/// The number of draws that makes the formula smallest, the load being read off the share of executors with work
-/// waiting through the tail law (share = load^(d+1) at the d in use).
+/// The number of draws that makes the formula smallest, the load being read off the share of executors with
+/// work waiting through the tail law (share = load^(d+1) at the d in use).
 pub fn best_draws(waiting_share: f64, in_use: u32, cost: f64, most: u32) -> Option<u32> {
     let load = waiting_share.clamp(1e-6, 1.0 - 1e-6).powf(1.0 / (in_use as f64 + 1.0));
     let times = (2..=most.max(2)).filter_map(|d| Some((d, time_in_system(d, load, cost)?)));
@@ -220,6 +231,7 @@
         while self.listed.len() <= e {
             self.listed.push(Listing { phase: Phase::Gone, started: None, ..*entry });
             self.distrust.push((0.0, 0.0));
+            self.slower.push((0.0, 0.0));
             self.slots.push(0.0);
             self.reading.push(Reading::default());
             self.read_at.push(0.0);
@@ -258,15 +270,15 @@
         self.own_out[e] = (self.own_out[e] + slots).max(0.0);
     }
 
-    /// Guards against a herd of this node's own: a reading is made now and then and arrives late, so pushes newer
-    /// than it are added, and what has ended since is taken off.
+    /// Guards against a herd of this node's own: a reading is made now and then and arrives late, so pushes
+    /// newer than it are added, and what has ended since is taken off.
     fn unseen(&self, e: usize, now: Millis) -> f64 {
         let since = (self.read_at[e] - READING_DELAY).max(now - READING_LIFE);
         self.own_changes[e].iter().filter(|&&(at, _)| at >= since).map(|&(_, slots)| slots).sum()
     }
 
-    /// Guards against readings that come seconds late, which draw all nodes to the same executors: one that shows
-    /// less in use than this node alone has had out there for long cannot be of now.
+    /// Guards against readings that come seconds late, which draw all nodes to the same executors: one that
+    /// shows less in use than this node alone has had out there for long cannot be of now.
     fn judge_reading(&mut self, e: usize, now: Millis, reading: &Reading) -> Option<String> {
         // In slots where they are shown: work units may take more than one.
         let used = reading.free_slots.map(|free| self.slots[e] - free + reading.queue.unwrap_or(0.0));
@@ -276,8 +288,6 @@
         let own_old = self.own_out[e] - fresh.map(|&(_, slots)| slots).sum::<f64>();
         let lacks = if own_old > 1.25 * used + 0.5 { 1.0 } else { 0.0 };
         self.late_share += ANSWER_WEIGHT * (lacks - self.late_share);
-        self.own_in_use += ANSWER_WEIGHT * (self.own_out[e].min(used) - self.own_in_use);
-        self.shown_in_use += ANSWER_WEIGHT * (used - self.shown_in_use);
         if self.late_share > LATE_SHARE {
             self.late_until = now + LATE_FOR;
         }
@@ -287,29 +297,25 @@
             .then(|| format!("readings late: {}, {:.3} of answers lack own work", self.late, self.late_share))
     }
 
-    /// Slots of an executor: as its reports show, else the least that any of its kind, then any at all, has shown.
+    /// Slots of an executor: as its reports show, else the least that any has shown.
     fn slots_of(&self, e: usize) -> f64 {
-        if self.slots[e] > 0.0 {
-            return self.slots[e];
-        }
-        let shown = |same_kind: bool| {
-            let known = (0..self.slots.len()).filter(|&o| self.slots[o] > 0.0);
-            known
-                .filter(|&o| !same_kind || self.listed[o].kind == self.listed[e].kind)
-                .map(|o| self.slots[o])
-                .min_by(f64::total_cmp)
-        };
-        shown(true).or_else(|| shown(false)).unwrap_or(1.0)
+        let shown = self.slots.iter().copied().filter(|&slots| slots > 0.0);
+        if self.slots[e] > 0.0 { self.slots[e] } else { shown.min_by(f64::total_cmp).unwrap_or(1.0) }
     }
 
-    /// The queue that a work unit of so many slots would stand in, with the slots that it lacks there now.
+    /// By how much an executor's running times exceed the usual, in logarithms, where they plainly do.
+    fn slowness(&self, e: usize, now: Millis) -> f64 {
+        let (score, at) = self.slower[e];
+        (score * (-(now - at) / SLOW_FADE).exp() - SLOW).max(0.0)
+    }
+
+    /// The queue that a work unit of so many slots would stand in, with the slots that it lacks there now; none is
+    /// believed while readings are late.
     fn queue_for(&self, e: usize, now: Millis, slots: f64, reading: &Reading) -> f64 {
         let waiting = reading.queue.or(reading.held).unwrap_or(0.0);
         let Some(free) = reading.free_slots else { return waiting.round() };
         if self.late {
-            let part = (self.own_in_use / self.shown_in_use.max(1e-9)).clamp(0.05, 1.0);
-            let allowed = (LATE_PART * part * self.slots_of(e)).max(slots);
-            return (self.own_out[e] + slots - allowed).max(0.0).round();
+            return 0.0;
         }
         // Guards against readings that come late or stand still: what this node has out there is there.
         let free = (free - self.unseen(e, now)).min(self.slots_of(e) - self.own_out[e]);
@@ -342,6 +348,7 @@
                 credit: number("credit"),
                 only_kind: (kind >= 0.0).then_some(MachineKindId(kind as u32)),
                 run: number("promised_turnaround"),
+                log_run: number("promised_turnaround").max(1.0).ln(),
                 runs_seen: 0,
             });
         }
@@ -403,13 +410,8 @@
                         slots: slots.max(1.0),
                         asked: now + left - self.types[project_type].limit.max(left),
                         limit: now + left,
-                        wanted: Wanted::Probed,
-                        allocs: Vec::new(),
-                        drawn: Vec::new(),
-                        answers: Vec::new(),
-                        missing: 0,
-                        draws: 0,
                         wake: f64::INFINITY,
+                        ..Wu::default()
                     };
                     self.wus.insert(wu, fresh);
                     self.draw(now, wu);
@@ -418,9 +420,7 @@
             Event::Probed { executor, answered, lag, reading } => {
                 self.on_probed(now, executor, answered.then_some((lag, reading)))
             }
-            Event::Ended { wu, alloc, executor, outcome, closed, lag } => {
-                self.on_ended(now, wu, alloc, executor, outcome, closed, lag)
-            }
+            Event::Ended { wu, alloc, outcome, closed, .. } => self.on_ended(now, wu, alloc, outcome, closed),
             Event::Started { wu, alloc } => {
                 if let Some(a) = self.wus.get_mut(&wu).and_then(|w| w.allocs.get_mut(alloc.0 as usize)) {
                     a.started.get_or_insert(now);
@@ -508,21 +508,11 @@
         }
     }
 
-    #[allow(clippy::too_many_arguments)]
-    fn on_ended(
-        &mut self,
-        now: Millis,
-        wu: WuId,
-        alloc: AllocId,
-        executor: ExecutorId,
-        outcome: Outcome,
-        closed: bool,
-        lag: Millis,
-    ) {
-        let e = executor.0 as usize;
+    fn on_ended(&mut self, now: Millis, wu: WuId, alloc: AllocId, outcome: Outcome, closed: bool) {
         let Some(w) = self.wus.get_mut(&wu) else { return };
         let Some(a) = w.allocs.get_mut(alloc.0 as usize).filter(|a| a.outcome.is_none()) else { return };
         a.outcome = Some(outcome);
+        let (executor, e) = (a.executor, a.executor.0 as usize);
         self.fleet.own_change(e, now, -w.slots);
         let distrust = match outcome {
             Outcome::Completed | Outcome::NotSent | Outcome::Cancelled => 0.0,
@@ -533,10 +523,15 @@
         };
         self.fleet.add_distrust(e, now, distrust);
         if outcome == Outcome::Completed {
-            let ran = a.started.map_or(lag, |s| now - s);
+            let ran = now - a.started.unwrap_or(a.sent);
             let kind = &mut self.types[w.project_type];
             kind.runs_seen = kind.runs_seen.saturating_add(1);
-            kind.run += (ran - kind.run) * RUN_WEIGHT.max(1.0 / kind.runs_seen as f64);
+            let (weight, log_ran) = (RUN_WEIGHT.max(1.0 / kind.runs_seen as f64), ran.max(1.0).ln());
+            kind.run += (ran - kind.run) * weight;
+            kind.log_run += (log_ran - kind.log_run) * weight;
+            let (score, at) = self.fleet.slower[e];
+            let score = score * (-(now - at) / SLOW_FADE).exp();
+            self.fleet.slower[e] = (score + SLOW_WEIGHT * (log_ran - kind.log_run - score), now);
         }
         if closed {
             self.forget(wu);
@@ -550,7 +545,8 @@
 
     fn forget(&mut self, wu: WuId) {
         let Some(w) = self.wus.remove(&wu) else { return };
-        // An allocation that is still out has its slots counted until its reading shows otherwise, not for ever.
+        // An allocation that is still out has its slots counted until its reading shows otherwise, not for
+        // ever.
         if let Some(a) = w.allocs.last().filter(|a| a.outcome.is_none()) {
             let out = &mut self.fleet.own_out[a.executor.0 as usize];
             *out = (*out - w.slots).max(0.0);
@@ -575,8 +571,8 @@
         self.touched.push(wu);
     }
 
-    /// The one place that says whether and where a work unit may be sent again, and (second) whether a deferral,
-    /// which promises that asking again is harmless, may be given.
+    /// The one place that says whether and where a work unit may be sent again, and (second) whether a
+    /// deferral, which promises that asking again is harmless, may be given.
     fn may_resend(&self, now: Millis, w: &Wu) -> (Resend, bool) {
         let kind = &self.types[w.project_type];
         let Some(first) = w.allocs.iter().find(|a| !a.outcome.is_some_and(Outcome::never_ran)) else {
@@ -612,8 +608,8 @@
         }
     }
 
-    /// What this node has left of an executor's cold budget, in slot-milliseconds; it holds one part in as many as
-    /// there are nodes, so that all together stay under the whole without a word between them.
+    /// What this node has left of an executor's cold budget, in slot-milliseconds; it holds one part in as
+    /// many as there are nodes, so that all together stay under the whole without a word between them.
     fn cold_room(&mut self, e: usize, now: Millis) -> f64 {
         let fall = self.cold.fall;
         let warm_then = self.warmth(e, now - fall);
@@ -638,31 +634,31 @@
         let (resend, _) = self.may_resend(now, w);
         let (cost, kind) = (self.cost(w), &self.types[w.project_type]);
         let (only_kind, scope) = (kind.only_kind, kind.scope);
-        let all = (0..self.fleet.listed.len() as u32).map(ExecutorId);
-        let allowed = |this: &mut Self, x: ExecutorId| {
-            let listed = this.fleet.listed[x.0 as usize];
+        let shares = |l: &Listing| if scope == RepeatScope::Place { l.place.0 } else { l.group.0 };
+        let mut legal = Vec::with_capacity(self.fleet.listed.len());
+        for e in 0..self.fleet.listed.len() {
+            let listed = &self.fleet.listed[e];
             let in_scope = match resend {
                 Resend::Anywhere => true,
                 Resend::Never => false,
-                Resend::Like(o) if scope == RepeatScope::Place => {
-                    listed.place == this.fleet.listed[o.0 as usize].place
-                }
-                Resend::Like(o) => listed.group == this.fleet.listed[o.0 as usize].group,
+                Resend::Like(o) => shares(listed) == shares(&self.fleet.listed[o.0 as usize]),
             };
-            listed.phase == Phase::Healthy
-                && in_scope
-                && only_kind.is_none_or(|k| k == listed.kind)
-                && this.cold_room(x.0 as usize, now) >= cost
-        };
-        all.filter(|&x| allowed(self, x)).collect()
+            let able = only_kind.is_none_or(|k| k == listed.kind);
+            if listed.phase == Phase::Healthy && in_scope && able && self.cold_room(e, now) >= cost {
+                legal.push(ExecutorId(e as u32));
+            }
+        }
+        legal
     }
 
-    /// Of the legal ones those that chance lets through, by warmth and by trust; never empty where any is legal.
+    /// Of the legal ones those that chance lets through, by warmth and by trust; never empty where any is
+    /// legal.
     fn ready(&mut self, now: Millis, legal: Vec<ExecutorId>) -> Vec<ExecutorId> {
         let mut ready = legal.clone();
         ready.retain(|x| {
             let e = x.0 as usize;
-            let chance = self.warmth(e, now) * (-self.fleet.distrust(e, now)).exp();
+            let distrust = self.fleet.distrust(e, now) + SLOW_DISTRUST * self.fleet.slowness(e, now);
+            let chance = self.warmth(e, now) * (-distrust).exp();
             chance > 0.98 || self.rng.random::<f64>() < chance
         });
         if ready.is_empty() { legal } else { ready }
@@ -710,7 +706,8 @@
                 self.fleet.awaiting[e].push(wu);
             }
         }
-        // The wait for probes is bounded by what probes usually take; a deep probe may queue like a work unit.
+        // The wait for probes is bounded by what probes usually take; a deep probe may queue like a work
+        // unit.
         let wait = 4.0 * self.monitoring.lag.unwrap_or(25.0) + 4.0 * self.monitoring.lag_swing + 5.0;
         let Some(w) = self.wus.get_mut(&wu) else { return };
         w.missing = drawn.len();
@@ -721,8 +718,8 @@
         self.want(wu, Wanted::Probed, wake);
     }
 
-    /// With all answers in, or the wait for them over: the shortest queue of those drawn. Among equal ones the
-    /// node's own place comes first where crossing is priced, then the least own work out, then chance.
+    /// With all answers in, or the wait for them over: the shortest queue of those drawn. Among equal ones
+    /// the node's own place comes first where crossing is priced, then the least own work out, then chance.
     fn choose(&mut self, now: Millis, wu: WuId) {
         let legal = self.legal(now, wu);
         let Some(w) = self.wus.get(&wu) else { return };
@@ -749,7 +746,8 @@
             }
             best = self.ready(now, legal);
         } else if least.0 >= 0.5 {
-            // Every answer is long: one more draw, then a short hold. What is pushed into a queue cannot be moved.
+            // Every answer is long: one more draw, then a short hold. What is pushed into a queue cannot be
+            // moved.
             let again = w.draws < 2 && self.held.is_empty();
             return if again { self.draw(now, wu) } else { self.hold(now, wu) };
         }
@@ -763,7 +761,8 @@
         self.want(wu, Wanted::Out(executor, cut_at), f64::INFINITY);
     }
 
-    /// Holds a work unit for as long as it may still end within its promised turnaround, then gives it up at once.
+    /// Holds a work unit for as long as it may still end within its promised turnaround, then gives it up at
+    /// once.
     fn hold(&mut self, now: Millis, wu: WuId) {
         let Some(w) = self.wus.get(&wu) else { return };
         let kind = &self.types[w.project_type];
@@ -775,7 +774,8 @@
         self.want(wu, Wanted::Held, (now + HOLD_PART * patience).min(until));
     }
 
-    /// An own allocation has ended, so there is room: the held work unit that earns most for its work asks there.
+    /// An own allocation has ended, so there is room: the held work unit that earns most for its work asks
+    /// there.
     fn room_at(&mut self, now: Millis, executor: ExecutorId) {
         let earns = |wu: &WuId| {
             let w = &self.wus[wu];
@@ -800,8 +800,8 @@
             return;
         }
         self.fleet.worth_for = READING_LIFE.max(run);
-        // The design's C, probe latency over running time, and what the settings charge for a probe as a share of
-        // what a work unit earns.
+        // The design's C, probe latency over running time, and what the settings charge for a probe as a
+        // share of what a work unit earns.
         let cost = m.lag.unwrap_or(0.0) / run + m.price;
         let draws = best_draws(share, m.draws, cost, MOST_DRAWS).unwrap_or(2);
         if draws != m.draws {
--- a/src/terms.rs
+++ b/src/terms.rs
@@ -1,4 +1,5 @@
-//! The words spoken with the decisions: ids, events, actions and the map of named values. Nothing is decided here.
+//! The words spoken with the decisions: ids, events, actions and the map of named values. Nothing is decided
+//! here.
 //!
 //! Every time and duration is in milliseconds with fractions.
 use std::collections::BTreeMap;
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -194,7 +194,8 @@
     assert_eq!(play(), play());
 }
 
-/// No room anywhere: a second draw, a hold, and either room from an own ended allocation or a prompt deferral.
+/// No room anywhere: a second draw, a hold, and either room from an own ended allocation or a prompt
+/// deferral.
 #[test]
 fn held_for_room_and_no_longer_than_it_may_help() {
     for (ends, expected) in [(true, 'p'), (false, 'd')] {
@@ -249,3 +250,22 @@
     }
     assert!(told && out.iter().all(|&n| n <= 4), "spread by own counts: {out:?}");
 }
+
+/// An executor that takes far longer than its peers is drawn less, and is tried again as distrust fades.
+#[test]
+fn slow_executors_are_drawn_less_for_a_while() {
+    let mut node = node(1.0);
+    node.warm(4);
+    let share_of_slow = |node: &mut Node, slow: Millis| {
+        let mut at_slow = 0;
+        for _ in 0..200 {
+            let (wu, executor) = node.pushed(0);
+            at_slow += (executor.0 == 0) as u32;
+            node.now += if executor.0 == 0 { slow } else { 50.0 };
+            node.end(wu, 0, executor, Outcome::Completed);
+        }
+        at_slow
+    };
+    let (even, slow) = (share_of_slow(&mut node, 50.0), share_of_slow(&mut node, 500.0));
+    assert!(even > 30 && slow < even / 2 && slow > 0, "{even} before, {slow} when ten times slower");
+}
