--- a/src/rules.rs
+++ b/src/rules.rs
@@ -41,6 +41,8 @@
 const SLOW_FADE: Millis = 10000.0;
 const SLOW: f64 = 0.4;
 const SLOW_DISTRUST: f64 = 8.0;
+/// Part of the time that a mean work unit has to spare within its promised turnaround; short ones have less.
+const PATIENCE: f64 = 0.5;
 /// A held work unit draws again after this part of its patience.
 const HOLD_PART: f64 = 0.5;
 
@@ -766,7 +768,7 @@
     fn hold(&mut self, now: Millis, wu: WuId) {
         let Some(w) = self.wus.get(&wu) else { return };
         let kind = &self.types[w.project_type];
-        let patience = kind.turnaround + (kind.stretch - 1.0).max(0.0) * kind.run;
+        let patience = PATIENCE * (kind.turnaround + (kind.stretch - 1.0).max(0.0) * kind.run);
         let until = (w.asked + patience).min(w.limit);
         if now >= until {
             return self.give_up(now, wu);
