--- a/src/rules.rs
+++ b/src/rules.rs
@@ -42,7 +42,7 @@
 const SLOW: f64 = 0.4;
 const SLOW_DISTRUST: f64 = 8.0;
 /// Part of the time that a mean work unit has to spare within its promised turnaround; short ones have less.
-const PATIENCE: f64 = 0.5;
+const PATIENCE: f64 = 0.25;
 /// A held work unit draws again after this part of its patience.
 const HOLD_PART: f64 = 0.5;
 
