--- a/src/rules.rs
+++ b/src/rules.rs
@@ -311,14 +311,10 @@
         (score * (-(now - at) / SLOW_FADE).exp() - SLOW).max(0.0)
     }
 
-    /// The queue that a work unit of so many slots would stand in, with the slots that it lacks there now; none is
-    /// believed while readings are late.
+    /// The queue that a work unit of so many slots would stand in, with the slots that it lacks there now.
     fn queue_for(&self, e: usize, now: Millis, slots: f64, reading: &Reading) -> f64 {
         let waiting = reading.queue.or(reading.held).unwrap_or(0.0);
         let Some(free) = reading.free_slots else { return waiting.round() };
-        if self.late {
-            return 0.0;
-        }
         // Guards against readings that come late or stand still: what this node has out there is there.
         let free = (free - self.unseen(e, now)).min(self.slots_of(e) - self.own_out[e]);
         (waiting + (slots - free).max(0.0)).round()
@@ -726,13 +722,15 @@
         let legal = self.legal(now, wu);
         let Some(w) = self.wus.get(&wu) else { return };
         let mut best: Vec<ExecutorId> = Vec::new();
-        let mut least = (f64::INFINITY, true, 0.0);
+        let (mut least, mut shortest) = ((f64::INFINITY, true, 0.0), f64::INFINITY);
         for (executor, reading) in w.answers.iter().filter(|(x, _)| legal.contains(x)) {
             let e = executor.0 as usize;
+            let queue = self.fleet.queue_for(e, now, w.slots, reading);
+            shortest = queue.min(shortest);
             let crossed = self.home.is_some_and(|home| self.fleet.listed[e].place != home);
             // Guards against the herd of all nodes on a late reading: what is out of its own, a node knows.
             let own = self.fleet.own_out[e] / self.fleet.slots_of(e);
-            let rank = (self.fleet.queue_for(e, now, w.slots, reading), crossed, own);
+            let rank = (if self.fleet.late { 0.0 } else { queue }, crossed, own);
             if rank < least {
                 least = rank;
                 best.clear();
@@ -747,7 +745,7 @@
                 return self.draw(now, wu);
             }
             best = self.ready(now, legal);
-        } else if least.0 >= 0.5 {
+        } else if shortest >= 0.5 {
             // Every answer is long: one more draw, then a short hold. What is pushed into a queue cannot be
             // moved.
             let again = w.draws < 2 && self.held.is_empty();
