--- a/src/rules.rs
+++ b/src/rules.rs
@@ -119,7 +119,6 @@
 struct Alloc {
     executor: ExecutorId,
     sent: Millis,
-    started: Option<Millis>,
     outcome: Option<Outcome>,
 }
 
@@ -165,7 +164,6 @@
     at: Millis,
     waiting_share: Option<f64>,
     lag: Option<Millis>,
-    lag_swing: Millis,
     price: f64,
 }
 
@@ -375,7 +373,6 @@
                 at: now,
                 waiting_share: None,
                 lag: None,
-                lag_swing: 0.0,
                 price: values.number("prices.probe", 0.0),
             },
             following: Following {
@@ -419,12 +416,7 @@
                 self.on_probed(now, executor, answered.then_some((lag, reading)))
             }
             Event::Ended { wu, alloc, outcome, closed, .. } => self.on_ended(now, wu, alloc, outcome, closed),
-            Event::Started { wu, alloc } => {
-                if let Some(a) = self.wus.get_mut(&wu).and_then(|w| w.allocs.get_mut(alloc.0 as usize)) {
-                    a.started.get_or_insert(now);
-                }
-            }
-            Event::Progress { .. } => {}
+            Event::Started { .. } | Event::Progress { .. } => {}
             Event::TimerFired => self.wake_set = f64::INFINITY,
             Event::Withdrawn { wu } => self.forget(wu),
         }
@@ -477,7 +469,6 @@
             let m = &mut self.monitoring;
             let was = *m.lag.get_or_insert(lag);
             m.lag = Some(was + 0.05 * (lag - was));
-            m.lag_swing += 0.05 * ((lag - was).abs() - m.lag_swing);
             let waiting = if reading.queue.unwrap_or(0.0) >= 0.5 { 1.0 } else { 0.0 };
             let share = *m.waiting_share.get_or_insert(0.25);
             m.waiting_share = Some(share + ANSWER_WEIGHT * (waiting - share));
@@ -521,7 +512,7 @@
         };
         self.fleet.add_distrust(e, now, distrust);
         if outcome == Outcome::Completed {
-            let ran = now - a.started.unwrap_or(a.sent);
+            let ran = now - a.sent;
             let kind = &mut self.types[w.project_type];
             kind.runs_seen = kind.runs_seen.saturating_add(1);
             let (weight, log_ran) = (RUN_WEIGHT.max(1.0 / kind.runs_seen as f64), ran.max(1.0).ln());
@@ -706,7 +697,7 @@
         }
         // The wait for probes is bounded by what probes usually take; a deep probe may queue like a work
         // unit.
-        let wait = 4.0 * self.monitoring.lag.unwrap_or(25.0) + 4.0 * self.monitoring.lag_swing + 5.0;
+        let wait = 8.0 * self.monitoring.lag.unwrap_or(15.0) + 5.0;
         let Some(w) = self.wus.get_mut(&wu) else { return };
         w.missing = drawn.len();
         w.drawn = drawn;
@@ -822,7 +813,7 @@
                 Wanted::Probed | Wanted::Held => {}
                 Wanted::Out(executor, cut_at) => {
                     if w.allocs.last().is_none_or(|a| a.outcome.is_some()) {
-                        w.allocs.push(Alloc { executor, sent: now, started: None, outcome: None });
+                        w.allocs.push(Alloc { executor, sent: now, outcome: None });
                         actions.push(Action::Push { wu, executor, cut_at });
                     }
                 }
