--- a/src/rules.rs
+++ b/src/rules.rs
@@ -43,23 +43,11 @@
 const SLOW_DISTRUST: f64 = 8.0;
 /// Part of the time that a mean work unit has to spare within its promised turnaround; short ones have less.
 const PATIENCE: f64 = 0.25;
+/// A customer may save up what it did not ask for over so long.
+const SHARE_SPAN: Millis = 2000.0;
 /// A held work unit draws again after this part of its patience.
 const HOLD_PART: f64 = 0.5;
 
-#[derive(Clone, Copy, PartialEq, Eq)]
-enum Effect {
-    Rerunnable,
-    Receipted,
-    Exclusive,
-}
-
-#[derive(Clone, Copy, PartialEq, Eq)]
-enum RepeatScope {
-    All,
-    Place,
-    Group,
-}
-
 struct ProjectType {
     effect: Effect,
     scope: RepeatScope,
@@ -89,7 +77,8 @@
 #[derive(Default)]
 struct Fleet {
     listed: Vec<Listing>,
-    distrust: Vec<(f64, Millis)>,
+    /// Score for what failed there, and when it was set.
+    failed: Vec<(f64, Millis)>,
     /// Smoothed logarithm of running times over the usual of their project type, and when it was learned.
     slower: Vec<(f64, Millis)>,
     /// The most slots that reports have shown.
@@ -137,6 +126,8 @@
 struct Wu {
     project_type: usize,
     slots: f64,
+    /// Beyond its customer's share.
+    over: bool,
     /// When the client first asked, for an earlier try perhaps.
     asked: Millis,
     limit: Millis,
@@ -174,9 +165,18 @@
     ask_every: Millis,
 }
 
+/// What a customer may still ask within its share: so many work units, filling up at a rate.
+struct Share {
+    left: f64,
+    at: Millis,
+    per_ms: f64,
+}
+
 pub struct Dispatcher {
     rng: ChaCha8Rng,
     types: Vec<ProjectType>,
+    shares: Vec<Share>,
+    credit_over: f64,
     cold: ColdRule,
     most_allocs: usize,
     come_back_told: bool,
@@ -197,6 +197,11 @@
     log: Vec<String>,
 }
 
+/// What is left of a score that was set some time ago.
+fn faded((score, at): (f64, Millis), now: Millis, fade: Millis) -> f64 {
+    if score == 0.0 { 0.0 } else { score * (-(now - at) / fade).exp() }
+}
+
 /// The mean time in the system of the ESM formula, in units of the mean running time; none where ρ reaches 1.
 pub fn time_in_system(draws: u32, load: f64, cost: f64) -> Option<f64> {
     let d = draws as f64;
@@ -230,7 +235,7 @@
         let e = entry.executor.0 as usize;
         while self.listed.len() <= e {
             self.listed.push(Listing { phase: Phase::Gone, started: None, ..*entry });
-            self.distrust.push((0.0, 0.0));
+            self.failed.push((0.0, 0.0));
             self.slower.push((0.0, 0.0));
             self.slots.push(0.0);
             self.reading.push(Reading::default());
@@ -243,22 +248,19 @@
         }
         if self.listed[e].started != entry.started {
             self.cold_spent[e].clear();
-            self.distrust[e] = (0.0, 0.0);
+            self.failed[e] = (0.0, 0.0);
         }
         self.listed[e] = *entry;
     }
 
-    fn healthy(&self, executor: ExecutorId) -> bool {
-        self.listed.get(executor.0 as usize).is_some_and(|l| l.phase == Phase::Healthy)
-    }
-
+    /// Distrust of an executor: for what failed there, and for running times that plainly exceed the usual.
     fn distrust(&self, e: usize, now: Millis) -> f64 {
-        let (score, at) = self.distrust[e];
-        if score > 0.0 { score * (-(now - at) / DISTRUST_FADE).exp() } else { 0.0 }
+        let slower = faded(self.slower[e], now, SLOW_FADE) - SLOW;
+        faded(self.failed[e], now, DISTRUST_FADE) + SLOW_DISTRUST * slower.max(0.0)
     }
 
     fn add_distrust(&mut self, e: usize, now: Millis, by: f64) {
-        self.distrust[e] = ((self.distrust(e, now) + by).min(6.0), now);
+        self.failed[e] = ((faded(self.failed[e], now, DISTRUST_FADE) + by).min(6.0), now);
     }
 
     fn own_change(&mut self, e: usize, now: Millis, slots: f64) {
@@ -303,12 +305,6 @@
         if self.slots[e] > 0.0 { self.slots[e] } else { shown.min_by(f64::total_cmp).unwrap_or(1.0) }
     }
 
-    /// By how much an executor's running times exceed the usual, in logarithms, where they plainly do.
-    fn slowness(&self, e: usize, now: Millis) -> f64 {
-        let (score, at) = self.slower[e];
-        (score * (-(now - at) / SLOW_FADE).exp() - SLOW).max(0.0)
-    }
-
     /// The queue that a work unit of so many slots would stand in, with the slots that it lacks there now.
     fn queue_for(&self, e: usize, now: Millis, slots: f64, reading: &Reading) -> f64 {
         let waiting = reading.queue.or(reading.held).unwrap_or(0.0);
@@ -327,16 +323,8 @@
             let number = |name: &str| values.number(&own(name), 0.0);
             let kind = values.number(&own("only_kind"), -1.0);
             types.push(ProjectType {
-                effect: match values.text(&own("effect")) {
-                    "rerunnable" => Effect::Rerunnable,
-                    "receipted" => Effect::Receipted,
-                    _ => Effect::Exclusive,
-                },
-                scope: match values.text(&own("repeat_scope")) {
-                    "all" => RepeatScope::All,
-                    "place" => RepeatScope::Place,
-                    _ => RepeatScope::Group,
-                },
+                effect: Effect::named(values.text(&own("effect"))),
+                scope: RepeatScope::named(values.text(&own("repeat_scope"))),
                 window: number("window"),
                 turnaround: number("promised_turnaround"),
                 stretch: number("stretch"),
@@ -348,15 +336,24 @@
                 runs_seen: 0,
             });
         }
+        let nodes = values.number("nodes", 1.0).max(1.0);
+        // A node sees its own traffic, which is uneven: up to twice its even part of each share is its own.
+        let share = |k: usize| format!("customers.{k}.share_per_s");
+        let per_ms = |k| values.number(&share(k), 0.0) * (2.0 / nodes).min(1.0) / 1000.0;
+        let known = (0..).take_while(|&k| values.holds(&share(k)));
+        let shares =
+            known.map(|k| Share { left: per_ms(k) * SHARE_SPAN, at: now, per_ms: per_ms(k) }).collect();
         let place = PlaceId(values.number("place", 0.0) as u32);
         Dispatcher {
             rng: ChaCha8Rng::seed_from_u64(seed),
             types,
+            shares,
+            credit_over: values.number("credit_over_share", 1.0),
             cold: ColdRule {
                 share: values.number("rules.cold_share", 1.0),
                 ramp: values.number("rules.ramp_time", 0.0),
                 fall: values.number("rules.fall", 0.0),
-                part: values.number("rules.fall_multiple", 1.0) / values.number("nodes", 1.0).max(1.0),
+                part: values.number("rules.fall_multiple", 1.0) / nodes,
             },
             most_allocs: values.number("limits.most_allocations", 1.0) as usize,
             come_back_told: values.flag("limits.come_back_told"),
@@ -397,12 +394,13 @@
                 f.ask_at = now + wait * self.rng.random_range(0.5..1.0);
                 self.log.push(format!("list lost: failure {}, asking in {wait:.0} ms", f.failures));
             }
-            Event::Arrived { wu, project_type, slots, left, .. } => {
+            Event::Arrived { wu, project_type, customer, slots, left, again, .. } => {
                 let project_type = project_type.0 as usize;
                 if project_type < self.types.len() && !self.wus.contains_key(&wu) {
                     let fresh = Wu {
                         project_type,
                         slots: slots.max(1.0),
+                        over: self.over_share(now, customer, again),
                         asked: now + left - self.types[project_type].limit.max(left),
                         limit: now + left,
                         wake: f64::INFINITY,
@@ -437,6 +435,16 @@
         }
     }
 
+    /// Whether this work unit is beyond its customer's share; a client that asks again is not counted twice.
+    fn over_share(&mut self, now: Millis, customer: CustomerId, again: bool) -> bool {
+        let Some(share) = self.shares.get_mut(customer.0 as usize) else { return false };
+        share.left = (share.left + share.per_ms * (now - share.at)).min((share.per_ms * SHARE_SPAN).max(1.0));
+        share.at = now;
+        let over = share.left < 1.0;
+        share.left -= if over || again { 0.0 } else { 1.0 };
+        over
+    }
+
     fn on_list(&mut self, now: Millis, kind: ListKind, entries: &[Listing]) {
         if kind != ListKind::Changes {
             self.fleet.listed.iter_mut().for_each(|l| l.phase = Phase::Gone);
@@ -451,7 +459,7 @@
             let Some(w) = self.wus.get(&wu) else { continue };
             if let Wanted::Out(executor, _) = w.wanted
                 && w.allocs.iter().all(|a| a.outcome.is_some())
-                && !self.fleet.healthy(executor)
+                && self.fleet.listed[executor.0 as usize].phase != Phase::Healthy
             {
                 self.fleet.own_change(executor.0 as usize, now, -w.slots);
                 self.draw(now, wu);
@@ -518,8 +526,7 @@
             let (weight, log_ran) = (RUN_WEIGHT.max(1.0 / kind.runs_seen as f64), ran.max(1.0).ln());
             kind.run += (ran - kind.run) * weight;
             kind.log_run += (log_ran - kind.log_run) * weight;
-            let (score, at) = self.fleet.slower[e];
-            let score = score * (-(now - at) / SLOW_FADE).exp();
+            let score = faded(self.fleet.slower[e], now, SLOW_FADE);
             self.fleet.slower[e] = (score + SLOW_WEIGHT * (log_ran - kind.log_run - score), now);
         }
         if closed {
@@ -646,8 +653,7 @@
         let mut ready = legal.clone();
         ready.retain(|x| {
             let e = x.0 as usize;
-            let distrust = self.fleet.distrust(e, now) + SLOW_DISTRUST * self.fleet.slowness(e, now);
-            let chance = self.warmth(e, now) * (-distrust).exp();
+            let chance = self.warmth(e, now) * (-self.fleet.distrust(e, now)).exp();
             chance > 0.98 || self.rng.random::<f64>() < chance
         });
         if ready.is_empty() { legal } else { ready }
@@ -759,7 +765,8 @@
         let kind = &self.types[w.project_type];
         let patience = PATIENCE * (kind.turnaround + (kind.stretch - 1.0).max(0.0) * kind.run);
         let until = (w.asked + patience).min(w.limit);
-        if now >= until {
+        // Where room is short, what exceeds a customer's share goes first.
+        if now >= until || (w.over && !self.held.is_empty()) {
             return self.give_up(now, wu);
         }
         self.want(wu, Wanted::Held, (now + HOLD_PART * patience).min(until));
@@ -770,7 +777,8 @@
     fn room_at(&mut self, now: Millis, executor: ExecutorId) {
         let earns = |wu: &WuId| {
             let w = &self.wus[wu];
-            self.types[w.project_type].credit / self.cost(w).max(1e-3)
+            let part = if w.over { self.credit_over } else { 1.0 };
+            part * self.types[w.project_type].credit / self.cost(w).max(1e-3)
         };
         // The first of equals is wanted, so the search goes from the newest to the longest held.
         let best = self.held.iter().rev().max_by(|a, b| earns(a).total_cmp(&earns(b))).copied();
--- a/src/terms.rs
+++ b/src/terms.rs
@@ -77,6 +77,44 @@
     }
 }
 
+/// What running twice would do.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Effect {
+    Rerunnable,
+    Receipted,
+    Exclusive,
+}
+
+impl Effect {
+    /// A word that is not known is taken for the strictest.
+    pub fn named(word: &str) -> Self {
+        match word {
+            "rerunnable" => Effect::Rerunnable,
+            "receipted" => Effect::Receipted,
+            _ => Effect::Exclusive,
+        }
+    }
+}
+
+/// Which executors know each other's marks against repeats.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum RepeatScope {
+    All,
+    Place,
+    Group,
+}
+
+impl RepeatScope {
+    /// A word that is not known is taken for the strictest.
+    pub fn named(word: &str) -> Self {
+        match word {
+            "all" => RepeatScope::All,
+            "place" => RepeatScope::Place,
+            _ => RepeatScope::Group,
+        }
+    }
+}
+
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub enum Phase {
     Healthy,
--- a/tests/helpers/mod.rs
+++ b/tests/helpers/mod.rs
@@ -35,6 +35,11 @@
         values.insert(name, Given::Number(n));
     }
     values.insert("limits.come_back_told", Given::Flag(true));
+    // Customer 0 has a share without end, customer 1 hardly any.
+    for (k, share) in [1e9, 1.0].into_iter().enumerate() {
+        values.insert(format!("customers.{k}.share_per_s"), Given::Number(share));
+    }
+    values.insert("credit_over_share", Given::Number(0.2));
     with(values)
 }
 
@@ -70,12 +75,16 @@
     }
 
     pub fn arrive(&mut self, project_type: u32) -> (WuId, Vec<Action>) {
+        self.arrive_for(project_type, 0)
+    }
+
+    pub fn arrive_for(&mut self, project_type: u32, customer: u32) -> (WuId, Vec<Action>) {
         self.next += 1;
         let wu = WuId(self.next);
         let actions = self.tell(Event::Arrived {
             wu,
             project_type: ProjectTypeId(project_type),
-            customer: CustomerId(0),
+            customer: CustomerId(customer),
             slots: 1.0,
             memory: 0.0,
             left: 5000.0,
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -269,3 +269,22 @@
     let (even, slow) = (share_of_slow(&mut node, 50.0), share_of_slow(&mut node, 500.0));
     assert!(even > 30 && slow < even / 2 && slow > 0, "{even} before, {slow} when ten times slower");
 }
+
+/// Where room is short, what exceeds a customer's share is deferred at once; with room it is served.
+#[test]
+fn beyond_a_share_goes_first() {
+    for (held_before, queue, expected) in [(1, 5.0, 'd'), (0, 0.0, 'p')] {
+        let mut node = node(1.0);
+        node.warm(2);
+        let mut said_last = 'h';
+        for _ in 0..held_before {
+            let (_, actions) = node.arrive_for(3, 0);
+            node.answer(actions, |_| queue);
+        }
+        for _ in 0..4 {
+            let (_, actions) = node.arrive_for(3, 1);
+            said_last = said(&node.answer(actions, |_| queue));
+        }
+        assert_eq!(said_last, expected, "queues of {queue}");
+    }
+}
