--- a/src/rules.rs
+++ b/src/rules.rs
@@ -513,7 +513,7 @@
         self.fleet.own_change(e, now, -w.slots);
         let distrust = match outcome {
             Outcome::Completed | Outcome::NotSent | Outcome::Cancelled => 0.0,
-            Outcome::Error => 0.3,
+            Outcome::Error => 1.0,
             // Only executors that showed room are sent to; one that is full all the same reports wrongly.
             Outcome::Full | Outcome::TimedOut | Outcome::NoConnection => 1.0,
             Outcome::Reset => 2.0,
@@ -681,7 +681,9 @@
         let ready = self.ready(now, legal);
         self.recompute_draws(now);
         let mut drawn: Vec<ExecutorId> = Vec::with_capacity(self.monitoring.draws as usize);
-        for _ in 0..self.monitoring.draws {
+        // While others are held room is short everywhere: one draw, for each probe is priced.
+        let draws = if self.held.is_empty() { self.monitoring.draws } else { 1 };
+        for _ in 0..draws {
             let pick = ready[self.rng.random_range(0..ready.len())];
             if !drawn.contains(&pick) {
                 drawn.push(pick);
