--- a/src/rules.rs
+++ b/src/rules.rs
@@ -4,8 +4,7 @@
 //! and one `emit(now, &mut actions)` after them. `tell` only changes what is wanted; `emit` alone works out
 //! the difference to what is out, held and timed. The interface (events, actions, ids) stands in `terms.rs`.
 //!
-//! Order of reading: what is known (`ProjectType`, `Fleet`, `Wu`), `tell`, `draw`, `choose`, the rules,
-//! `emit`.
+//! Order of reading: what is known (`ProjectType`, `Fleet`, `Wu`), `tell`, the rules, `draw`, `choose`, `emit`.
 use crate::terms::*;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -29,6 +28,9 @@
 /// after.
 const LATE_SHARE: f64 = 0.02;
 const LATE_FOR: Millis = 5000.0;
+/// Nodes that push only where they see room leave few queues; with more than this share of them readings are
+/// too old for the number of nodes.
+const QUEUES_ABOUT: f64 = 0.25;
 /// Distrust fades by this time constant.
 const DISTRUST_FADE: Millis = 4000.0;
 /// Part of the cold budget that is used: running times are heavy-tailed and only learned means are known.
@@ -90,13 +92,15 @@
     own_changes: Vec<VecDeque<(Millis, f64)>>,
     /// Slots of this node's allocations that are out.
     own_out: Vec<f64>,
-    /// How old a reading may be before it is worth less than own counts: what it shows has mostly ended by
-    /// then.
-    worth_for: Millis,
+    /// Smoothed running time of all work: what an older reading shows has mostly ended by then.
+    mean_run: Millis,
     /// Smoothed share of readings that lacked own work known to be there, and the mode that follows from it.
     late_share: f64,
     late: bool,
     late_until: Millis,
+    /// Whether most readings show queues, and this node's part of an executor's slots then.
+    queues_about: bool,
+    part: f64,
     /// Work units that wait for the probe that is wanted or out.
     awaiting: Vec<Vec<WuId>>,
     probe_out: Vec<bool>,
@@ -265,7 +269,7 @@
 
     fn own_change(&mut self, e: usize, now: Millis, slots: f64) {
         let changes = &mut self.own_changes[e];
-        while changes.front().is_some_and(|&(at, _)| at < now - self.worth_for.max(READING_LIFE)) {
+        while changes.front().is_some_and(|&(at, _)| at < now - self.mean_run.max(READING_LIFE)) {
             changes.pop_front();
         }
         changes.push_back((now, slots));
@@ -276,7 +280,13 @@
     /// newer than it are added, and what has ended since is taken off.
     fn unseen(&self, e: usize, now: Millis) -> f64 {
         let since = (self.read_at[e] - READING_DELAY).max(now - READING_LIFE);
-        self.own_changes[e].iter().filter(|&&(at, _)| at >= since).map(|&(_, slots)| slots).sum()
+        self.own_since(e, since, f64::NEG_INFINITY)
+    }
+
+    /// Slots that own pushes and endings have changed since then, of the changes over `least`.
+    fn own_since(&self, e: usize, since: Millis, least: f64) -> f64 {
+        let counted = |&&(at, slots): &&(Millis, f64)| at >= since && slots > least;
+        self.own_changes[e].iter().filter(counted).map(|&(_, slots)| slots).sum()
     }
 
     /// Guards against readings that come seconds late, which draw all nodes to the same executors: one that
@@ -285,18 +295,16 @@
         // In slots where they are shown: work units may take more than one.
         let used = reading.free_slots.map(|free| self.slots[e] - free + reading.queue.unwrap_or(0.0));
         let used = used.or(reading.held).unwrap_or(f64::INFINITY).max(0.0);
-        let fresh =
-            self.own_changes[e].iter().filter(|&&(at, slots)| at >= now - self.worth_for && slots > 0.0);
-        let own_old = self.own_out[e] - fresh.map(|&(_, slots)| slots).sum::<f64>();
+        let own_old = self.own_out[e] - self.own_since(e, now - self.mean_run.max(READING_LIFE), 0.0);
         let lacks = if own_old > 1.25 * used + 0.5 { 1.0 } else { 0.0 };
         self.late_share += ANSWER_WEIGHT * (lacks - self.late_share);
         if self.late_share > LATE_SHARE {
             self.late_until = now + LATE_FOR;
         }
-        let change = self.late != (now < self.late_until);
-        self.late = now < self.late_until;
-        change
-            .then(|| format!("readings late: {}, {:.3} of answers lack own work", self.late, self.late_share))
+        let was = std::mem::replace(&mut self.late, now < self.late_until);
+        let share = self.late_share;
+        (was != self.late)
+            .then(|| format!("readings late: {}, {share:.3} of answers lack own work", self.late))
     }
 
     /// Slots of an executor: as its reports show, else the least that any has shown.
@@ -310,7 +318,11 @@
         let waiting = reading.queue.or(reading.held).unwrap_or(0.0);
         let Some(free) = reading.free_slots else { return waiting.round() };
         // Guards against readings that come late or stand still: what this node has out there is there.
-        let free = (free - self.unseen(e, now)).min(self.slots_of(e) - self.own_out[e]);
+        // Guards against all nodes filling one up on old readings: with queues about, a node keeps to its part.
+        let part = if self.queues_about || self.late { self.part } else { 1.0 };
+        let own = (self.slots_of(e) * part).max(slots) - self.own_out[e];
+        let free = if self.late { own } else { (free - self.unseen(e, now)).min(own) };
+        let waiting = if self.late { 0.0 } else { waiting };
         (waiting + (slots - free).max(0.0)).round()
     }
 }
@@ -343,7 +355,6 @@
         let known = (0..).take_while(|&k| values.holds(&share(k)));
         let shares =
             known.map(|k| Share { left: per_ms(k) * SHARE_SPAN, at: now, per_ms: per_ms(k) }).collect();
-        let place = PlaceId(values.number("place", 0.0) as u32);
         Dispatcher {
             rng: ChaCha8Rng::seed_from_u64(seed),
             types,
@@ -357,8 +368,9 @@
             },
             most_allocs: values.number("limits.most_allocations", 1.0) as usize,
             come_back_told: values.flag("limits.come_back_told"),
-            home: (values.number("prices.cross_place", 0.0) > 0.0).then_some(place),
-            fleet: Fleet { worth_for: READING_LIFE, ..Fleet::default() },
+            home: (values.number("prices.cross_place", 0.0) > 0.0)
+                .then_some(PlaceId(values.number("place", 0.0) as u32)),
+            fleet: Fleet { mean_run: READING_LIFE, part: (2.0 / nodes).min(1.0), ..Fleet::default() },
             wus: HashMap::new(),
             held: Vec::new(),
             touched: Vec::new(),
@@ -475,11 +487,12 @@
         self.fleet.probe_out[e] = false;
         if let Some((lag, reading)) = answer {
             let m = &mut self.monitoring;
-            let was = *m.lag.get_or_insert(lag);
+            let was = m.lag.unwrap_or(lag);
             m.lag = Some(was + 0.05 * (lag - was));
             let waiting = if reading.queue.unwrap_or(0.0) >= 0.5 { 1.0 } else { 0.0 };
             let share = *m.waiting_share.get_or_insert(0.25);
             m.waiting_share = Some(share + ANSWER_WEIGHT * (waiting - share));
+            self.fleet.queues_about = share > QUEUES_ABOUT;
             let running = reading.held.unwrap_or(0.0) - reading.queue.unwrap_or(0.0);
             let shown = reading.free_slots.unwrap_or(0.0) + running.max(0.0);
             self.fleet.slots[e] = self.fleet.slots[e].max(shown.round());
@@ -513,9 +526,8 @@
         self.fleet.own_change(e, now, -w.slots);
         let distrust = match outcome {
             Outcome::Completed | Outcome::NotSent | Outcome::Cancelled => 0.0,
-            Outcome::Error => 1.0,
             // Only executors that showed room are sent to; one that is full all the same reports wrongly.
-            Outcome::Full | Outcome::TimedOut | Outcome::NoConnection => 1.0,
+            Outcome::Full | Outcome::Error | Outcome::TimedOut | Outcome::NoConnection => 1.0,
             Outcome::Reset => 2.0,
         };
         self.fleet.add_distrust(e, now, distrust);
@@ -525,6 +537,7 @@
             kind.runs_seen = kind.runs_seen.saturating_add(1);
             let (weight, log_ran) = (RUN_WEIGHT.max(1.0 / kind.runs_seen as f64), ran.max(1.0).ln());
             kind.run += (ran - kind.run) * weight;
+            self.fleet.mean_run += (ran - self.fleet.mean_run) * RUN_WEIGHT;
             kind.log_run += (log_ran - kind.log_run) * weight;
             let score = faded(self.fleet.slower[e], now, SLOW_FADE);
             self.fleet.slower[e] = (score + SLOW_WEIGHT * (log_ran - kind.log_run - score), now);
@@ -541,8 +554,7 @@
 
     fn forget(&mut self, wu: WuId) {
         let Some(w) = self.wus.remove(&wu) else { return };
-        // An allocation that is still out has its slots counted until its reading shows otherwise, not for
-        // ever.
+        // What is still out after its answer is left to the readings to show.
         if let Some(a) = w.allocs.last().filter(|a| a.outcome.is_none()) {
             let out = &mut self.fleet.own_out[a.executor.0 as usize];
             *out = (*out - w.slots).max(0.0);
@@ -647,8 +659,7 @@
         legal
     }
 
-    /// Of the legal ones those that chance lets through, by warmth and by trust; never empty where any is
-    /// legal.
+    /// Of the legal ones those that chance lets through, by warmth and by trust; empty only with them.
     fn ready(&mut self, now: Millis, legal: Vec<ExecutorId>) -> Vec<ExecutorId> {
         let mut ready = legal.clone();
         ready.retain(|x| {
@@ -668,12 +679,11 @@
         }
         let mut legal = self.legal(now, wu);
         let Some(w) = self.wus.get(&wu) else { return };
-        let refused = |x: &ExecutorId| w.allocs.iter().any(|a| a.executor == *x);
-        let seen = |x: &ExecutorId| w.draws == 1 && w.drawn.contains(x);
-        for passed_over in [&refused as &dyn Fn(&ExecutorId) -> bool, &seen] {
-            if legal.iter().any(|x| !passed_over(x)) {
-                legal.retain(|x| !passed_over(x));
-            }
+        let passed_over = |x: &ExecutorId| {
+            w.allocs.iter().any(|a| a.executor == *x) || (w.draws == 1 && w.drawn.contains(x))
+        };
+        if !legal.iter().all(passed_over) {
+            legal.retain(|x| !passed_over(x));
         }
         if legal.is_empty() {
             return self.hold(now, wu);
@@ -703,8 +713,7 @@
                 self.fleet.awaiting[e].push(wu);
             }
         }
-        // The wait for probes is bounded by what probes usually take; a deep probe may queue like a work
-        // unit.
+        // The wait for probes is bounded by what they usually take; a deep one may queue like a work unit.
         let wait = 8.0 * self.monitoring.lag.unwrap_or(15.0) + 5.0;
         let Some(w) = self.wus.get_mut(&wu) else { return };
         w.missing = drawn.len();
@@ -721,15 +730,13 @@
         let legal = self.legal(now, wu);
         let Some(w) = self.wus.get(&wu) else { return };
         let mut best: Vec<ExecutorId> = Vec::new();
-        let (mut least, mut shortest) = ((f64::INFINITY, true, 0.0), f64::INFINITY);
+        let mut least = (f64::INFINITY, true, 0.0);
         for (executor, reading) in w.answers.iter().filter(|(x, _)| legal.contains(x)) {
             let e = executor.0 as usize;
-            let queue = self.fleet.queue_for(e, now, w.slots, reading);
-            shortest = queue.min(shortest);
             let crossed = self.home.is_some_and(|home| self.fleet.listed[e].place != home);
             // Guards against the herd of all nodes on a late reading: what is out of its own, a node knows.
             let own = self.fleet.own_out[e] / self.fleet.slots_of(e);
-            let rank = (if self.fleet.late { 0.0 } else { queue }, crossed, own);
+            let rank = (self.fleet.queue_for(e, now, w.slots, reading), crossed, own);
             if rank < least {
                 least = rank;
                 best.clear();
@@ -744,9 +751,8 @@
                 return self.draw(now, wu);
             }
             best = self.ready(now, legal);
-        } else if shortest >= 0.5 {
-            // Every answer is long: one more draw, then a short hold. What is pushed into a queue cannot be
-            // moved.
+        } else if least.0 >= 0.5 {
+            // Every answer is long: one more draw, then a short hold, as what is in a queue cannot be moved.
             let again = w.draws < 2 && self.held.is_empty();
             return if again { self.draw(now, wu) } else { self.hold(now, wu) };
         }
@@ -760,8 +766,7 @@
         self.want(wu, Wanted::Out(executor, cut_at), f64::INFINITY);
     }
 
-    /// Holds a work unit for as long as it may still end within its promised turnaround, then gives it up at
-    /// once.
+    /// Holds a work unit while it may well end within its promised turnaround, then gives it up at once.
     fn hold(&mut self, now: Millis, wu: WuId) {
         let Some(w) = self.wus.get(&wu) else { return };
         let kind = &self.types[w.project_type];
@@ -774,8 +779,7 @@
         self.want(wu, Wanted::Held, (now + HOLD_PART * patience).min(until));
     }
 
-    /// An own allocation has ended, so there is room: the held work unit that earns most for its work asks
-    /// there.
+    /// An own allocation has ended: the held work unit that earns most for its work asks for room there.
     fn room_at(&mut self, now: Millis, executor: ExecutorId) {
         let earns = |wu: &WuId| {
             let w = &self.wus[wu];
@@ -795,15 +799,9 @@
         let m = &mut self.monitoring;
         let Some(share) = m.waiting_share.filter(|_| now - m.at >= RECOMPUTE_EVERY) else { return };
         m.at = now;
-        let seen: f64 = self.types.iter().map(|t| t.runs_seen as f64).sum();
-        let run = self.types.iter().map(|t| t.run * t.runs_seen as f64).sum::<f64>() / seen.max(1.0);
-        if run <= 0.0 {
-            return;
-        }
-        self.fleet.worth_for = READING_LIFE.max(run);
         // The design's C, probe latency over running time, and what the settings charge for a probe as a
         // share of what a work unit earns.
-        let cost = m.lag.unwrap_or(0.0) / run + m.price;
+        let cost = m.lag.unwrap_or(0.0) / self.fleet.mean_run.max(1.0) + m.price;
         let draws = best_draws(share, m.draws, cost, MOST_DRAWS).unwrap_or(2);
         if draws != m.draws {
             self.log.push(format!("d {} to {draws}: waiting share {share:.3}, C {cost:.4}", m.draws));
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -288,3 +288,28 @@
         assert_eq!(said_last, expected, "queues of {queue}");
     }
 }
+
+/// With queues at many executors a node keeps to its part of the slots, and goes back to all when they are gone.
+#[test]
+fn queues_about_keep_a_node_to_its_part() {
+    for (queues, expected) in [(0.0, 4), (1.0, 1)] {
+        let mut node = node(8.0);
+        node.warm(2);
+        // Executor 1 shows queues or none for a while; the work units go to executor 0 and end at once.
+        for _ in 0..200 {
+            let (wu, actions) = node.arrive(0);
+            let actions = node.answer(actions, |e| queues * e as f64);
+            if let Some(executor) = push_of(&actions) {
+                node.end(wu, 0, executor, Outcome::Completed);
+            }
+        }
+        node.list(ListKind::Changes, &[listing(1, 1, Phase::Gone, None)]);
+        node.now += 1000.0;
+        let mut sent = 0;
+        for _ in 0..6 {
+            let (_, actions) = node.arrive(0);
+            sent += push_of(&node.answer(actions, |_| 0.0)).is_some() as u32;
+        }
+        assert_eq!(sent, expected, "queues of {queues}");
+    }
+}
