--- a/src/rules.rs
+++ b/src/rules.rs
@@ -181,6 +181,7 @@
     types: Vec<ProjectType>,
     shares: Vec<Share>,
     credit_over: f64,
+    by_work: bool,
     cold: ColdRule,
     most_allocs: usize,
     come_back_told: bool,
@@ -360,6 +361,7 @@
             types,
             shares,
             credit_over: values.number("credit_over_share", 1.0),
+            by_work: values.text("credit_by") == "work",
             cold: ColdRule {
                 share: values.number("rules.cold_share", 1.0),
                 ramp: values.number("rules.ramp_time", 0.0),
@@ -398,8 +400,7 @@
         match event {
             Event::ListTold { kind, entries } => self.on_list(now, kind, &entries),
             Event::ListLost => {
-                // A failed call keeps the old list; waits grow with jitter so that nodes do not ask in step,
-                // and stay well inside the span after which a node counts as told.
+                // Waits grow, with jitter against asking in step, well inside the span that counts as told.
                 let f = &mut self.following;
                 f.failures = (f.failures + 1).min(6);
                 let wait = (100.0 * f64::powi(2.0, f.failures as i32)).min(f.ask_every / 4.0);
@@ -784,7 +785,8 @@
         let earns = |wu: &WuId| {
             let w = &self.wus[wu];
             let part = if w.over { self.credit_over } else { 1.0 };
-            part * self.types[w.project_type].credit / self.cost(w).max(1e-3)
+            let kind = &self.types[w.project_type];
+            part * kind.credit * if self.by_work { kind.run } else { 1.0 } / self.cost(w).max(1e-3)
         };
         // The first of equals is wanted, so the search goes from the newest to the longest held.
         let best = self.held.iter().rev().max_by(|a, b| earns(a).total_cmp(&earns(b))).copied();
