--- a/src/rules.rs
+++ b/src/rules.rs
@@ -34,7 +34,7 @@
 /// Distrust fades by this time constant.
 const DISTRUST_FADE: Millis = 4000.0;
 /// Part of the cold budget that is used: running times are heavy-tailed and only learned means are known.
-const COLD_HEADROOM: f64 = 0.5;
+const COLD_HEADROOM: f64 = 0.8;
 /// A receipted work unit is resent only this part into its window, for the way there and clocks that differ.
 const WINDOW_MARGIN: f64 = 0.8;
 /// Weight of one running time in how slow an executor is, the time in which that fades, the excess (in
