--- a/crates/wirehost/src/decode.rs
+++ b/crates/wirehost/src/decode.rs
@@ -138,16 +138,13 @@
 }
 
 #[derive(Deserialize)]
-pub struct Returned<'a> {
+pub struct Returned {
     pub i: u64,
     #[serde(deserialize_with = "wu")]
     pub call: WuId,
-    #[serde(borrow)]
-    pub executor: Cow<'a, str>,
     pub complete: bool,
     pub n: u32,
     pub state_code: StateCode,
-    pub lag: u64,
 }
 
 #[derive(Deserialize)]
--- a/crates/wirehost/src/host.rs
+++ b/crates/wirehost/src/host.rs
@@ -136,13 +136,11 @@
             }
             "returned" => {
                 let r: decode::Returned = decode::parse(line)?;
-                self.tell(r.i, now, |instance| Event::Ended {
+                self.tell(r.i, now, |_| Event::Ended {
                     wu: r.call,
                     alloc: AllocId(r.n),
-                    executor: instance.executor(&r.executor),
                     outcome: outcome(r.state_code),
                     closed: r.complete,
-                    lag: millis(r.lag),
                 });
             }
             "begun" => {
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -16,21 +16,19 @@
 const RUN_WEIGHT: f64 = 0.03;
 /// How often d is worked out anew.
 const RECOMPUTE_EVERY: Millis = 1000.0;
-/// The most draws that are tried; with several slots an executor rarely makes a work unit wait, and probes
-/// cost.
+/// The most draws that are tried: an executor with several slots rarely makes work wait, and probes cost.
 const MOST_DRAWS: u32 = 3;
 /// How long a reading may have been under way when it is first seen.
 const READING_DELAY: Millis = 40.0;
-/// A reading that still looks the same after this is taken to be made anew; one that does not yet show what
-/// has been out for longer is late.
+/// A reading that still looks the same after this is taken to be made anew.
 const READING_LIFE: Millis = 500.0;
-/// Readings count as late from this share of answers that lack own work known to be there, and for so long
-/// after.
+/// Readings count as late from this share of answers that lack own work, and for so long after.
 const LATE_SHARE: f64 = 0.02;
 const LATE_FOR: Millis = 5000.0;
-/// Nodes that push only where they see room leave few queues; with more than this share of them readings are
-/// too old for the number of nodes.
+/// With more than this share of executors showing queues readings are too old for so many nodes.
 const QUEUES_ABOUT: f64 = 0.25;
+/// Traffic is uneven, so a node takes up to so many times its even part of what all share.
+const UNEVEN: f64 = 2.0;
 /// Distrust fades by this time constant.
 const DISTRUST_FADE: Millis = 4000.0;
 /// Part of the cold budget that is used: running times are heavy-tailed and only learned means are known.
@@ -94,11 +92,11 @@
     own_out: Vec<f64>,
     /// Smoothed running time of all work: what an older reading shows has mostly ended by then.
     mean_run: Millis,
-    /// Smoothed share of readings that lacked own work known to be there, and the mode that follows from it.
+    /// Smoothed share of readings that lacked own work, and the mode that follows from it.
     late_share: f64,
     late: bool,
     late_until: Millis,
-    /// Whether most readings show queues, and this node's part of an executor's slots then.
+    /// Whether many readings show queues, and this node's part of what all share.
     queues_about: bool,
     part: f64,
     /// Work units that wait for the probe that is wanted or out.
@@ -303,9 +301,8 @@
             self.late_until = now + LATE_FOR;
         }
         let was = std::mem::replace(&mut self.late, now < self.late_until);
-        let share = self.late_share;
-        (was != self.late)
-            .then(|| format!("readings late: {}, {share:.3} of answers lack own work", self.late))
+        let (late, share) = (self.late, self.late_share);
+        (was != late).then(|| format!("readings late: {late}, {share:.3} of answers lack own work"))
     }
 
     /// Slots of an executor: as its reports show, else the least that any has shown.
@@ -350,12 +347,11 @@
             });
         }
         let nodes = values.number("nodes", 1.0).max(1.0);
-        // A node sees its own traffic, which is uneven: up to twice its even part of each share is its own.
+        let part = (UNEVEN / nodes).min(1.0);
         let share = |k: usize| format!("customers.{k}.share_per_s");
-        let per_ms = |k| values.number(&share(k), 0.0) * (2.0 / nodes).min(1.0) / 1000.0;
-        let known = (0..).take_while(|&k| values.holds(&share(k)));
-        let shares =
-            known.map(|k| Share { left: per_ms(k) * SHARE_SPAN, at: now, per_ms: per_ms(k) }).collect();
+        let per_ms = |k| values.number(&share(k), 0.0) * part / 1000.0;
+        let full = |k| Share { left: per_ms(k) * SHARE_SPAN, at: now, per_ms: per_ms(k) };
+        let shares = (0..).take_while(|&k| values.holds(&share(k))).map(full).collect();
         Dispatcher {
             rng: ChaCha8Rng::seed_from_u64(seed),
             types,
@@ -372,7 +368,7 @@
             come_back_told: values.flag("limits.come_back_told"),
             home: (values.number("prices.cross_place", 0.0) > 0.0)
                 .then_some(PlaceId(values.number("place", 0.0) as u32)),
-            fleet: Fleet { mean_run: READING_LIFE, part: (2.0 / nodes).min(1.0), ..Fleet::default() },
+            fleet: Fleet { mean_run: READING_LIFE, part, ..Fleet::default() },
             wus: HashMap::new(),
             held: Vec::new(),
             touched: Vec::new(),
@@ -426,7 +422,7 @@
             Event::Probed { executor, answered, lag, reading } => {
                 self.on_probed(now, executor, answered.then_some((lag, reading)))
             }
-            Event::Ended { wu, alloc, outcome, closed, .. } => self.on_ended(now, wu, alloc, outcome, closed),
+            Event::Ended { wu, alloc, outcome, closed } => self.on_ended(now, wu, alloc, outcome, closed),
             Event::Started { .. } | Event::Progress { .. } => {}
             Event::TimerFired => self.wake_set = f64::INFINITY,
             Event::Withdrawn { wu } => self.forget(wu),
@@ -493,7 +489,11 @@
             let waiting = if reading.queue.unwrap_or(0.0) >= 0.5 { 1.0 } else { 0.0 };
             let share = *m.waiting_share.get_or_insert(0.25);
             m.waiting_share = Some(share + ANSWER_WEIGHT * (waiting - share));
-            self.fleet.queues_about = share > QUEUES_ABOUT;
+            let queues_about = share > QUEUES_ABOUT;
+            if queues_about != self.fleet.queues_about {
+                self.fleet.queues_about = queues_about;
+                self.log.push(format!("queues about: {queues_about}, at {share:.3} of executors"));
+            }
             let running = reading.held.unwrap_or(0.0) - reading.queue.unwrap_or(0.0);
             let shown = reading.free_slots.unwrap_or(0.0) + running.max(0.0);
             self.fleet.slots[e] = self.fleet.slots[e].max(shown.round());
--- a/src/terms.rs
+++ b/src/terms.rs
@@ -198,10 +198,8 @@
     Ended {
         wu: WuId,
         alloc: AllocId,
-        executor: ExecutorId,
         outcome: Outcome,
         closed: bool,
-        lag: Millis,
     },
     /// An allocation has started to run, or to answer.
     Started {
--- a/tests/helpers/mod.rs
+++ b/tests/helpers/mod.rs
@@ -107,9 +107,9 @@
         others
     }
 
-    pub fn end(&mut self, wu: WuId, alloc: u32, executor: ExecutorId, outcome: Outcome) -> Vec<Action> {
+    pub fn end(&mut self, wu: WuId, alloc: u32, outcome: Outcome) -> Vec<Action> {
         let closed = outcome == Outcome::Completed;
-        self.tell(Event::Ended { wu, alloc: AllocId(alloc), executor, outcome, closed, lag: 100.0 })
+        self.tell(Event::Ended { wu, alloc: AllocId(alloc), outcome, closed })
     }
 
     /// A work unit taken, probed and pushed: its id and where it went.
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -49,7 +49,7 @@
                     node.list(ListKind::Changes, &[listing(executor.0, executor.0, Phase::Draining, None)]);
                     node.now = 200.0;
                 }
-                let actions = node.end(wu, 0, executor, outcome);
+                let actions = node.end(wu, 0, outcome);
                 assert_eq!(said(&actions), expected, "type {project_type} after {outcome:?}");
             }
         }
@@ -65,7 +65,7 @@
         node.list(ListKind::Whole, &entries);
         let (wu, executor) = node.pushed(2);
         node.now = after;
-        let actions = node.end(wu, 0, executor, Outcome::Reset);
+        let actions = node.end(wu, 0, Outcome::Reset);
         assert_eq!(said(&actions), expected);
         if expected == 'p' {
             let actions = node.answer(actions, |_| 0.0);
@@ -78,13 +78,13 @@
 fn attempts_are_counted_and_answers_final() {
     let mut node = node(1.0);
     node.warm(6);
-    let (wu, mut executor) = node.pushed(3);
+    let (wu, _) = node.pushed(3);
     for alloc in 0..2 {
-        let actions = node.end(wu, alloc, executor, Outcome::Full);
-        executor = push_of(&node.answer(actions, |_| 0.0)).unwrap();
+        let actions = node.end(wu, alloc, Outcome::Full);
+        push_of(&node.answer(actions, |_| 0.0)).unwrap();
     }
-    assert_eq!(said(&node.end(wu, 2, executor, Outcome::Full)), 'd');
-    assert!(node.end(wu, 2, executor, Outcome::Full).is_empty(), "nothing follows a final answer");
+    assert_eq!(said(&node.end(wu, 2, Outcome::Full)), 'd');
+    assert!(node.end(wu, 2, Outcome::Full).is_empty(), "nothing follows a final answer");
 }
 
 #[test]
@@ -95,7 +95,7 @@
         let (wu, actions) = node.arrive(0);
         let pushed = push_of(&node.answer(actions, |e| 3.0 * e as f64)).unwrap();
         assert_eq!(pushed.0, 0, "a first draw of only the longer queue is followed by a second");
-        node.end(wu, 0, pushed, Outcome::Completed);
+        node.end(wu, 0, Outcome::Completed);
     }
 }
 
@@ -175,9 +175,9 @@
             let (wu, actions) = node.arrive(k % 4);
             let actions = node.answer(actions, |e| (e % 3) as f64);
             all.extend(actions.clone());
-            if let Some(executor) = push_of(&actions) {
-                all.extend(node.end(wu, 0, executor, Outcome::Completed));
-                assert!(node.end(wu, 0, executor, Outcome::Reset).is_empty());
+            if push_of(&actions).is_some() {
+                all.extend(node.end(wu, 0, Outcome::Completed));
+                assert!(node.end(wu, 0, Outcome::Reset).is_empty());
             }
         }
         let stale = WuId(999);
@@ -208,7 +208,7 @@
         let mut seen = actions;
         if ends {
             node.now += 10.0;
-            let actions = node.end(running, 0, executor, Outcome::Completed);
+            let actions = node.end(running, 0, Outcome::Completed);
             assert!(actions.contains(&Action::Probe { executor }));
             seen = node.answer(actions, |_| 0.0);
             assert_eq!(push_of(&seen), Some(executor));
@@ -262,7 +262,7 @@
             let (wu, executor) = node.pushed(0);
             at_slow += (executor.0 == 0) as u32;
             node.now += if executor.0 == 0 { slow } else { 50.0 };
-            node.end(wu, 0, executor, Outcome::Completed);
+            node.end(wu, 0, Outcome::Completed);
         }
         at_slow
     };
@@ -299,8 +299,8 @@
         for _ in 0..200 {
             let (wu, actions) = node.arrive(0);
             let actions = node.answer(actions, |e| queues * e as f64);
-            if let Some(executor) = push_of(&actions) {
-                node.end(wu, 0, executor, Outcome::Completed);
+            if push_of(&actions).is_some() {
+                node.end(wu, 0, Outcome::Completed);
             }
         }
         node.list(ListKind::Changes, &[listing(1, 1, Phase::Gone, None)]);
