--- a/src/rules.rs
+++ b/src/rules.rs
@@ -25,7 +25,7 @@
 /// Readings count as late from this share of answers that lack own work, and for so long after.
 const LATE_SHARE: f64 = 0.02;
 const LATE_FOR: Millis = 5000.0;
-/// With more than this share of executors showing queues readings are too old for so many nodes.
+/// With more than this share of queues shown, until half of it, readings are too old for so many nodes.
 const QUEUES_ABOUT: f64 = 0.25;
 /// Traffic is uneven, so a node takes up to so many times its even part of what all share.
 const UNEVEN: f64 = 2.0;
@@ -489,7 +489,7 @@
             let waiting = if reading.queue.unwrap_or(0.0) >= 0.5 { 1.0 } else { 0.0 };
             let share = *m.waiting_share.get_or_insert(0.25);
             m.waiting_share = Some(share + ANSWER_WEIGHT * (waiting - share));
-            let queues_about = share > QUEUES_ABOUT;
+            let queues_about = share > QUEUES_ABOUT * if self.fleet.queues_about { 0.5 } else { 1.0 };
             if queues_about != self.fleet.queues_about {
                 self.fleet.queues_about = queues_about;
                 self.log.push(format!("queues about: {queues_about}, at {share:.3} of executors"));
