--- a/src/rules.rs
+++ b/src/rules.rs
@@ -48,6 +48,9 @@
 /// A held work unit draws again after this part of its patience.
 const HOLD_PART: f64 = 0.5;
 
+/// So many listed executors are picked and asked whether they are ready before all are walked through.
+const PICKS: usize = 40;
+
 struct ProjectType {
     effect: Effect,
     scope: RepeatScope,
@@ -81,8 +84,11 @@
     failed: Vec<(f64, Millis)>,
     /// Smoothed logarithm of running times over the usual of their project type, and when it was learned.
     slower: Vec<(f64, Millis)>,
-    /// The most slots that reports have shown.
+    /// The most slots that reports have shown, and the least of these; it stands in where none are shown yet.
     slots: Vec<f64>,
+    least_slots: Option<f64>,
+    /// The healthy ones: who may be drawn.
+    healthy: Vec<ExecutorId>,
     reading: Vec<Reading>,
     /// When this reading was first seen; the same one comes back until the executor makes a new one.
     read_at: Vec<Millis>,
@@ -307,8 +313,7 @@
 
     /// Slots of an executor: as its reports show, else the least that any has shown.
     fn slots_of(&self, e: usize) -> f64 {
-        let shown = self.slots.iter().copied().filter(|&slots| slots > 0.0);
-        if self.slots[e] > 0.0 { self.slots[e] } else { shown.min_by(f64::total_cmp).unwrap_or(1.0) }
+        if self.slots[e] > 0.0 { self.slots[e] } else { self.least_slots.unwrap_or(1.0) }
     }
 
     /// The queue that a work unit of so many slots would stand in, with the slots that it lacks there now.
@@ -459,6 +464,8 @@
             self.fleet.listed.iter_mut().for_each(|l| l.phase = Phase::Gone);
         }
         entries.iter().for_each(|entry| self.fleet.list(entry));
+        let healthy = self.fleet.listed.iter().filter(|l| l.phase == Phase::Healthy);
+        self.fleet.healthy = healthy.map(|l| l.executor).collect();
         if kind != ListKind::Saved && self.following.failures > 0 {
             self.log.push(format!("list back after {} failures", self.following.failures));
             self.following.failures = 0;
@@ -496,7 +503,11 @@
             }
             let running = reading.held.unwrap_or(0.0) - reading.queue.unwrap_or(0.0);
             let shown = reading.free_slots.unwrap_or(0.0) + running.max(0.0);
-            self.fleet.slots[e] = self.fleet.slots[e].max(shown.round());
+            let slots = self.fleet.slots[e].max(shown.round());
+            self.fleet.slots[e] = slots;
+            if slots > 0.0 {
+                self.fleet.least_slots = Some(self.fleet.least_slots.map_or(slots, |least| least.min(slots)));
+            }
             let mode = self.fleet.judge_reading(e, now, &reading);
             self.log.extend(mode);
             if self.fleet.reading[e] != reading {
@@ -619,56 +630,59 @@
 
     /// What this node has left of an executor's cold budget, in slot-milliseconds; it holds one part in as
     /// many as there are nodes, so that all together stay under the whole without a word between them.
-    fn cold_room(&mut self, e: usize, now: Millis) -> f64 {
+    fn cold_room(&self, e: usize, now: Millis) -> f64 {
         let fall = self.cold.fall;
         let warm_then = self.warmth(e, now - fall);
         if warm_then >= 1.0 {
             return f64::INFINITY;
         }
         let budget = COLD_HEADROOM * self.cold.part * warm_then * self.fleet.slots_of(e) * fall;
-        let spent = &mut self.fleet.cold_spent[e];
-        while spent.front().is_some_and(|&(at, _)| at < now - fall) {
-            spent.pop_front();
-        }
-        budget - spent.iter().map(|&(_, work)| work).sum::<f64>()
+        let spent = self.fleet.cold_spent[e].iter().filter(|&&(at, _)| at >= now - fall);
+        budget - spent.map(|&(_, work)| work).sum::<f64>()
     }
 
     fn cost(&self, w: &Wu) -> f64 {
         w.slots * self.types[w.project_type].run
     }
 
-    /// Executors that the rules allow for this work unit now.
-    fn legal(&mut self, now: Millis, wu: WuId) -> Vec<ExecutorId> {
-        let Some(w) = self.wus.get(&wu) else { return Vec::new() };
-        let (resend, _) = self.may_resend(now, w);
-        let (cost, kind) = (self.cost(w), &self.types[w.project_type]);
-        let (only_kind, scope) = (kind.only_kind, kind.scope);
-        let shares = |l: &Listing| if scope == RepeatScope::Place { l.place.0 } else { l.group.0 };
-        let mut legal = Vec::with_capacity(self.fleet.listed.len());
-        for e in 0..self.fleet.listed.len() {
-            let listed = &self.fleet.listed[e];
-            let in_scope = match resend {
-                Resend::Anywhere => true,
-                Resend::Never => false,
-                Resend::Like(o) => shares(listed) == shares(&self.fleet.listed[o.0 as usize]),
-            };
-            let able = only_kind.is_none_or(|k| k == listed.kind);
-            if listed.phase == Phase::Healthy && in_scope && able && self.cold_room(e, now) >= cost {
-                legal.push(ExecutorId(e as u32));
-            }
-        }
-        legal
+    /// Whether the rules allow this executor for a work unit now.
+    fn allowed(&self, now: Millis, w: &Wu, executor: ExecutorId) -> bool {
+        let (kind, listed, e) = (&self.types[w.project_type], &self.fleet.listed, executor.0 as usize);
+        let by_place = kind.scope == RepeatScope::Place;
+        let shares = |l: &Listing| if by_place { l.place.0 } else { l.group.0 };
+        let in_scope = match self.may_resend(now, w).0 {
+            Resend::Anywhere => true,
+            Resend::Never => false,
+            Resend::Like(other) => shares(&listed[e]) == shares(&listed[other.0 as usize]),
+        };
+        let able = kind.only_kind.is_none_or(|k| k == listed[e].kind) && listed[e].phase == Phase::Healthy;
+        in_scope && able && self.cold_room(e, now) >= self.cost(w)
     }
 
-    /// Of the legal ones those that chance lets through, by warmth and by trust; empty only with them.
-    fn ready(&mut self, now: Millis, legal: Vec<ExecutorId>) -> Vec<ExecutorId> {
-        let mut ready = legal.clone();
-        ready.retain(|x| {
-            let e = x.0 as usize;
-            let chance = self.warmth(e, now) * (-self.fleet.distrust(e, now)).exp();
-            chance > 0.98 || self.rng.random::<f64>() < chance
-        });
-        if ready.is_empty() { legal } else { ready }
+    /// Chance by warmth and by trust decides who of the allowed is ready.
+    fn let_through(&mut self, now: Millis, executor: ExecutorId) -> bool {
+        let e = executor.0 as usize;
+        let chance = self.warmth(e, now) * (-self.fleet.distrust(e, now)).exp();
+        chance > 0.98 || self.rng.random::<f64>() < chance
+    }
+
+    /// One ready executor, each with the same chance. Where chance lets none through, all that are allowed are
+    /// ready; those that `but` names come only where there is no other.
+    fn pick(&mut self, now: Millis, wu: WuId, but: &[ExecutorId]) -> Option<ExecutorId> {
+        // Guards against work that grows with the fleet: a healthy one at random, then whether it is ready.
+        for _ in 0..if self.fleet.healthy.is_empty() { 0 } else { PICKS } {
+            let x = self.fleet.healthy[self.rng.random_range(0..self.fleet.healthy.len())];
+            if !but.contains(&x) && self.allowed(now, self.wus.get(&wu)?, x) && self.let_through(now, x) {
+                return Some(x);
+            }
+        }
+        let mut left = self.fleet.healthy.clone();
+        let w = self.wus.get(&wu)?;
+        left.retain(|&x| self.allowed(now, w, x));
+        if !left.iter().all(|x| but.contains(x)) {
+            left.retain(|x| !but.contains(x));
+        }
+        (!left.is_empty()).then(|| left[self.rng.random_range(0..left.len())])
     }
 
     /// Draws d ready executors with replacement and wants a probe to each distinct one.
@@ -678,29 +692,16 @@
         {
             return self.give_up(now, wu);
         }
-        let mut legal = self.legal(now, wu);
-        let Some(w) = self.wus.get(&wu) else { return };
-        let passed_over = |x: &ExecutorId| {
-            w.allocs.iter().any(|a| a.executor == *x) || (w.draws == 1 && w.drawn.contains(x))
-        };
-        if !legal.iter().all(passed_over) {
-            legal.retain(|x| !passed_over(x));
-        }
-        if legal.is_empty() {
-            return self.hold(now, wu);
-        }
-        let ready = self.ready(now, legal);
+        let mut but: Vec<ExecutorId> = w.allocs.iter().map(|a| a.executor).collect();
+        but.extend(w.drawn.iter().filter(|_| w.draws == 1));
         self.recompute_draws(now);
-        let mut drawn: Vec<ExecutorId> = Vec::with_capacity(self.monitoring.draws as usize);
         // While others are held room is short everywhere: one draw, for each probe is priced.
         let draws = if self.held.is_empty() { self.monitoring.draws } else { 1 };
+        let mut drawn: Vec<ExecutorId> = Vec::with_capacity(draws as usize);
         for _ in 0..draws {
-            let pick = ready[self.rng.random_range(0..ready.len())];
-            if !drawn.contains(&pick) {
-                drawn.push(pick);
-            }
+            drawn.extend(self.pick(now, wu, &but).filter(|x| !drawn.contains(x)));
         }
-        self.probe(now, wu, drawn);
+        if drawn.is_empty() { self.hold(now, wu) } else { self.probe(now, wu, drawn) }
     }
 
     /// Wants an answer from each of these for this work unit.
@@ -728,11 +729,10 @@
     /// With all answers in, or the wait for them over: the shortest queue of those drawn. Among equal ones
     /// the node's own place comes first where crossing is priced, then the least own work out, then chance.
     fn choose(&mut self, now: Millis, wu: WuId) {
-        let legal = self.legal(now, wu);
         let Some(w) = self.wus.get(&wu) else { return };
         let mut best: Vec<ExecutorId> = Vec::new();
         let mut least = (f64::INFINITY, true, 0.0);
-        for (executor, reading) in w.answers.iter().filter(|(x, _)| legal.contains(x)) {
+        for (executor, reading) in w.answers.iter().filter(|(x, _)| self.allowed(now, w, *x)) {
             let e = executor.0 as usize;
             let crossed = self.home.is_some_and(|home| self.fleet.listed[e].place != home);
             // Guards against the herd of all nodes on a late reading: what is out of its own, a node knows.
@@ -746,21 +746,24 @@
                 best.push(*executor);
             }
         }
-        if best.is_empty() {
+        let draws = w.draws;
+        if best.is_empty() && draws >= 2 {
             // No answer at all: one more draw, then one of the ready at random.
-            if w.draws < 2 || legal.is_empty() {
-                return self.draw(now, wu);
-            }
-            best = self.ready(now, legal);
+            best.extend(self.pick(now, wu, &[]));
+            least.0 = 0.0;
+        }
+        if best.is_empty() {
+            return self.draw(now, wu);
         } else if least.0 >= 0.5 {
             // Every answer is long: one more draw, then a short hold, as what is in a queue cannot be moved.
-            let again = w.draws < 2 && self.held.is_empty();
+            let again = draws < 2 && self.held.is_empty();
             return if again { self.draw(now, wu) } else { self.hold(now, wu) };
         }
         let executor = best[self.rng.random_range(0..best.len())];
         let Some(w) = self.wus.get(&wu) else { return };
         let (cut_at, slots, cost, e) = (w.limit, w.slots, self.cost(w), executor.0 as usize);
         if self.warmth(e, now - self.cold.fall) < 1.0 {
+            self.fleet.cold_spent[e].retain(|&(at, _)| at >= now - self.cold.fall);
             self.fleet.cold_spent[e].push_back((now, cost));
         }
         self.fleet.own_change(e, now, slots);
@@ -791,7 +794,7 @@
         // The first of equals is wanted, so the search goes from the newest to the longest held.
         let best = self.held.iter().rev().max_by(|a, b| earns(a).total_cmp(&earns(b))).copied();
         let Some(wu) = best else { return };
-        if self.legal(now, wu).contains(&executor) {
+        if self.allowed(now, &self.wus[&wu], executor) {
             self.probe(now, wu, vec![executor]);
         }
     }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -313,3 +313,24 @@
         assert_eq!(sent, expected, "queues of {queues}");
     }
 }
+
+/// Thousands of executors that started at once: a draw asks about those it picks, and passes a cold one over
+/// as often as its warmth says.
+#[test]
+fn draws_from_thousands_that_are_cold() {
+    let mut node = node(1.0);
+    node.now = 50_000.0;
+    let (fresh, all) = (4000, 8000);
+    let started = |e| (e < fresh).then_some(47_500.0);
+    let entries: Vec<Listing> = (0..all).map(|e| listing(e, e, Phase::Healthy, started(e))).collect();
+    node.list(ListKind::Whole, &entries);
+    let (mut cold, count) = (0, 3000);
+    for _ in 0..count {
+        let (wu, executor) = node.pushed(0);
+        cold += (executor.0 < fresh) as u32;
+        node.end(wu, 0, Outcome::Completed);
+    }
+    // A quarter into the ramp from a quarter: warmth 0.4375, so 0.4375 of 1.4375 draws.
+    let share = cold as f64 / count as f64;
+    assert!((0.27..0.34).contains(&share), "{share} of the draws");
+}
