Round: the drawn are probed one by one, until one shows no queue and no work of ours

Equal queues now go by the part of the slots in use, not by own work out alone, which at a hundred nodes is mostly 0.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -86,7 +86,7 @@
     slower: Vec<(f64, Millis)>,
     /// The most slots that reports have shown, and the least of these; it stands in where none are shown yet.
     slots: Vec<f64>,
-    least_slots: Option<f64>,
+    least_slots: f64,
     /// The healthy ones: who may be drawn.
     healthy: Vec<ExecutorId>,
     reading: Vec<Reading>,
@@ -109,7 +109,7 @@
     awaiting: Vec<Vec<WuId>>,
     probe_out: Vec<bool>,
     /// What was pushed while cold: when, and how many slot-milliseconds.
-    cold_spent: Vec<VecDeque<(Millis, f64)>>,
+    cold_spent: Vec<Vec<(Millis, f64)>>,
 }
 
 #[derive(Clone, Copy)]
@@ -143,7 +143,8 @@
     allocs: Vec<Alloc>,
     drawn: Vec<ExecutorId>,
     answers: Vec<(ExecutorId, Reading)>,
-    missing: usize,
+    /// How many of the drawn were probed so far.
+    probed: usize,
     draws: u32,
     wake: Millis,
 }
@@ -231,8 +232,7 @@
     }
 }
 
-/// The number of draws that makes the formula smallest, the load being read off the share of executors with
-/// work waiting through the tail law (share = load^(d+1) at the d in use).
+/// The number of draws that makes the formula smallest; load follows by the tail law, share = load^(d+1).
 pub fn best_draws(waiting_share: f64, in_use: u32, cost: f64, most: u32) -> Option<u32> {
     let load = waiting_share.clamp(1e-6, 1.0 - 1e-6).powf(1.0 / (in_use as f64 + 1.0));
     let times = (2..=most.max(2)).filter_map(|d| Some((d, time_in_system(d, load, cost)?)));
@@ -253,7 +253,7 @@
             self.own_out.push(0.0);
             self.awaiting.push(Vec::new());
             self.probe_out.push(false);
-            self.cold_spent.push(VecDeque::new());
+            self.cold_spent.push(Vec::new());
         }
         if self.listed[e].started != entry.started {
             self.cold_spent[e].clear();
@@ -313,20 +313,20 @@
 
     /// Slots of an executor: as its reports show, else the least that any has shown.
     fn slots_of(&self, e: usize) -> f64 {
-        if self.slots[e] > 0.0 { self.slots[e] } else { self.least_slots.unwrap_or(1.0) }
+        if self.slots[e] > 0.0 { self.slots[e] } else { self.least_slots }
     }
 
     /// The queue that a work unit of so many slots would stand in, with the slots that it lacks there now.
-    fn queue_for(&self, e: usize, now: Millis, slots: f64, reading: &Reading) -> f64 {
+    fn queue_for(&self, e: usize, now: Millis, slots: f64, reading: &Reading) -> (f64, f64) {
         let waiting = reading.queue.or(reading.held).unwrap_or(0.0);
-        let Some(free) = reading.free_slots else { return waiting.round() };
+        let Some(free) = reading.free_slots else { return (waiting.round(), self.own_out[e]) };
         // Guards against readings that come late or stand still: what this node has out there is there.
-        // Guards against all nodes filling one up on old readings: with queues about, a node keeps to its part.
+        // Guards against all nodes filling one up on old readings: with queues about, each keeps to its part.
         let part = if self.queues_about || self.late { self.part } else { 1.0 };
         let own = (self.slots_of(e) * part).max(slots) - self.own_out[e];
         let free = if self.late { own } else { (free - self.unseen(e, now)).min(own) };
         let waiting = if self.late { 0.0 } else { waiting };
-        (waiting + (slots - free).max(0.0)).round()
+        ((waiting + (slots - free).max(0.0)).round(), 1.0 - free / self.slots_of(e))
     }
 }
 
@@ -373,7 +373,7 @@
             come_back_told: values.flag("limits.come_back_told"),
             home: (values.number("prices.cross_place", 0.0) > 0.0)
                 .then_some(PlaceId(values.number("place", 0.0) as u32)),
-            fleet: Fleet { mean_run: READING_LIFE, part, ..Fleet::default() },
+            fleet: Fleet { mean_run: READING_LIFE, part, least_slots: 1.0, ..Fleet::default() },
             wus: HashMap::new(),
             held: Vec::new(),
             touched: Vec::new(),
@@ -439,7 +439,7 @@
             let Some(w) = self.wus.get_mut(&wu) else { continue };
             w.wake = f64::INFINITY;
             match w.wanted {
-                Wanted::Probed => self.choose(now, wu),
+                Wanted::Probed => self.probe_next(now, wu),
                 Wanted::Held => {
                     w.draws = 1;
                     self.draw(now, wu)
@@ -501,13 +501,9 @@
                 self.fleet.queues_about = queues_about;
                 self.log.push(format!("queues about: {queues_about}, at {share:.3} of executors"));
             }
-            let running = reading.held.unwrap_or(0.0) - reading.queue.unwrap_or(0.0);
-            let shown = reading.free_slots.unwrap_or(0.0) + running.max(0.0);
-            let slots = self.fleet.slots[e].max(shown.round());
-            self.fleet.slots[e] = slots;
-            if slots > 0.0 {
-                self.fleet.least_slots = Some(self.fleet.least_slots.map_or(slots, |least| least.min(slots)));
-            }
+            let running = (reading.held.unwrap_or(0.0) - reading.queue.unwrap_or(0.0)).max(0.0);
+            let shown = reading.free_slots.unwrap_or(0.0) + running;
+            self.fleet.slots[e] = self.fleet.slots[e].max(shown.round());
             let mode = self.fleet.judge_reading(e, now, &reading);
             self.log.extend(mode);
             if self.fleet.reading[e] != reading {
@@ -519,14 +515,14 @@
         }
         for wu in std::mem::take(&mut self.fleet.awaiting[e]) {
             let Some(w) = self.wus.get_mut(&wu) else { continue };
-            if w.wanted != Wanted::Probed || !w.drawn.contains(&executor) {
+            if w.wanted != Wanted::Probed || w.probed == 0 || w.drawn[w.probed - 1] != executor {
                 continue;
             }
-            w.missing = w.missing.saturating_sub(1);
             w.answers.extend(answer.map(|(_, reading)| (executor, reading)));
-            if w.missing == 0 {
-                self.choose(now, wu);
-            }
+            // Nothing that is still to be probed could be better than no queue, no crossing and no own work.
+            let rank = answer.map(|(_, reading)| self.rank(now, &self.wus[&wu], executor, &reading));
+            let best = self.fleet.own_out[e] < 0.5 && rank.is_some_and(|r| r.0 < 0.5 && !r.1);
+            if best { self.choose(now, wu) } else { self.probe_next(now, wu) }
         }
     }
 
@@ -591,8 +587,7 @@
         self.touched.push(wu);
     }
 
-    /// The one place that says whether and where a work unit may be sent again, and (second) whether a
-    /// deferral, which promises that asking again is harmless, may be given.
+    /// Whether and where a work unit may be sent again, and whether it may be deferred, said here alone.
     fn may_resend(&self, now: Millis, w: &Wu) -> (Resend, bool) {
         let kind = &self.types[w.project_type];
         let Some(first) = w.allocs.iter().find(|a| !a.outcome.is_some_and(Outcome::never_ran)) else {
@@ -628,8 +623,8 @@
         }
     }
 
-    /// What this node has left of an executor's cold budget, in slot-milliseconds; it holds one part in as
-    /// many as there are nodes, so that all together stay under the whole without a word between them.
+    /// What this node has left of an executor's cold budget, in slot-milliseconds: one part in as many as there
+    /// are nodes, so that all together stay under the whole without a word between them.
     fn cold_room(&self, e: usize, now: Millis) -> f64 {
         let fall = self.cold.fall;
         let warm_then = self.warmth(e, now - fall);
@@ -704,40 +699,46 @@
         if drawn.is_empty() { self.hold(now, wu) } else { self.probe(now, wu, drawn) }
     }
 
-    /// Wants an answer from each of these for this work unit.
+    /// Wants answers from these for this work unit, one after another.
     fn probe(&mut self, now: Millis, wu: WuId, drawn: Vec<ExecutorId>) {
-        for &executor in &drawn {
-            let e = executor.0 as usize;
-            if !self.fleet.probe_out[e] && self.fleet.awaiting[e].is_empty() {
-                self.probes_wanted.push(executor);
-            }
-            if !self.fleet.awaiting[e].contains(&wu) {
-                self.fleet.awaiting[e].push(wu);
-            }
-        }
-        // The wait for probes is bounded by what they usually take; a deep one may queue like a work unit.
-        let wait = 8.0 * self.monitoring.lag.unwrap_or(15.0) + 5.0;
         let Some(w) = self.wus.get_mut(&wu) else { return };
-        w.missing = drawn.len();
-        w.drawn = drawn;
+        (w.drawn, w.probed, w.draws) = (drawn, 0, w.draws + 1);
         w.answers.clear();
-        w.draws += 1;
-        let wake = (now + wait).min(w.limit);
+        self.probe_next(now, wu);
+    }
+
+    /// Wants an answer from the next of those drawn.
+    fn probe_next(&mut self, now: Millis, wu: WuId) {
+        let Some(w) = self.wus.get_mut(&wu) else { return };
+        let Some(&executor) = w.drawn.get(w.probed) else { return self.choose(now, wu) };
+        w.probed += 1;
+        let e = executor.0 as usize;
+        if !self.fleet.probe_out[e] && self.fleet.awaiting[e].is_empty() {
+            self.probes_wanted.push(executor);
+        }
+        if !self.fleet.awaiting[e].contains(&wu) {
+            self.fleet.awaiting[e].push(wu);
+        }
+        // The wait for a probe is bounded by what it usually takes; a deep one may queue like a work unit.
+        let wake = (now + 8.0 * self.monitoring.lag.unwrap_or(15.0) + 5.0).min(w.limit);
         self.want(wu, Wanted::Probed, wake);
     }
 
-    /// With all answers in, or the wait for them over: the shortest queue of those drawn. Among equal ones
-    /// the node's own place comes first where crossing is priced, then the least own work out, then chance.
+    /// The shortest queue first; among equal ones the node's own place where crossing is priced, then the least
+    /// part of the slots in use, which guards against the herd of all nodes on readings that are a little old.
+    fn rank(&self, now: Millis, w: &Wu, executor: ExecutorId, reading: &Reading) -> (f64, bool, f64) {
+        let e = executor.0 as usize;
+        let (queue, used) = self.fleet.queue_for(e, now, w.slots, reading);
+        (queue, self.home.is_some_and(|home| self.fleet.listed[e].place != home), used)
+    }
+
+    /// With all answers in, the best of those drawn; among equal ones chance decides.
     fn choose(&mut self, now: Millis, wu: WuId) {
         let Some(w) = self.wus.get(&wu) else { return };
         let mut best: Vec<ExecutorId> = Vec::new();
         let mut least = (f64::INFINITY, true, 0.0);
         for (executor, reading) in w.answers.iter().filter(|(x, _)| self.allowed(now, w, *x)) {
-            let e = executor.0 as usize;
-            let crossed = self.home.is_some_and(|home| self.fleet.listed[e].place != home);
-            // Guards against the herd of all nodes on a late reading: what is out of its own, a node knows.
-            let own = self.fleet.own_out[e] / self.fleet.slots_of(e);
-            let rank = (self.fleet.queue_for(e, now, w.slots, reading), crossed, own);
+            let rank = self.rank(now, w, *executor, reading);
             if rank < least {
                 least = rank;
                 best.clear();
@@ -746,25 +747,24 @@
                 best.push(*executor);
             }
         }
-        let draws = w.draws;
-        if best.is_empty() && draws >= 2 {
+        let (draws, answered) = (w.draws, !best.is_empty());
+        if !answered && draws >= 2 {
             // No answer at all: one more draw, then one of the ready at random.
             best.extend(self.pick(now, wu, &[]));
-            least.0 = 0.0;
+        } else if answered && least.0 >= 0.5 && (draws >= 2 || !self.held.is_empty()) {
+            // Every answer is long: one more draw, then a short hold, as what is in a queue cannot be moved.
+            return self.hold(now, wu);
         }
-        if best.is_empty() {
+        if best.is_empty() || (answered && least.0 >= 0.5) {
             return self.draw(now, wu);
-        } else if least.0 >= 0.5 {
-            // Every answer is long: one more draw, then a short hold, as what is in a queue cannot be moved.
-            let again = draws < 2 && self.held.is_empty();
-            return if again { self.draw(now, wu) } else { self.hold(now, wu) };
         }
         let executor = best[self.rng.random_range(0..best.len())];
-        let Some(w) = self.wus.get(&wu) else { return };
-        let (cut_at, slots, cost, e) = (w.limit, w.slots, self.cost(w), executor.0 as usize);
+        let (w, e) = (&self.wus[&wu], executor.0 as usize);
+        let (cut_at, slots, cost) = (w.limit, w.slots, self.cost(w));
         if self.warmth(e, now - self.cold.fall) < 1.0 {
-            self.fleet.cold_spent[e].retain(|&(at, _)| at >= now - self.cold.fall);
-            self.fleet.cold_spent[e].push_back((now, cost));
+            let spent = &mut self.fleet.cold_spent[e];
+            spent.retain(|&(at, _)| at >= now - self.cold.fall);
+            spent.push((now, cost));
         }
         self.fleet.own_change(e, now, slots);
         self.want(wu, Wanted::Out(executor, cut_at), f64::INFINITY);
@@ -804,6 +804,8 @@
         let m = &mut self.monitoring;
         let Some(share) = m.waiting_share.filter(|_| now - m.at >= RECOMPUTE_EVERY) else { return };
         m.at = now;
+        let least = self.fleet.slots.iter().copied().filter(|&slots| slots > 0.0).min_by(f64::total_cmp);
+        self.fleet.least_slots = least.unwrap_or(1.0);
         // The design's C, probe latency over running time, and what the settings charge for a probe as a
         // share of what a work unit earns.
         let cost = m.lag.unwrap_or(0.0) / self.fleet.mean_run.max(1.0) + m.price;
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -334,3 +334,28 @@
     let share = cold as f64 / count as f64;
     assert!((0.27..0.34).contains(&share), "{share} of the draws");
 }
+
+/// One probe where the first executor drawn is free of queues and of own work; else the others drawn follow.
+#[test]
+fn probing_stops_where_nothing_could_be_better() {
+    for (own_work, expected) in [(false, 1), (true, 2)] {
+        let mut node = node(1.0);
+        node.warm(2);
+        let mut most = 0;
+        for _ in 0..20 {
+            let (wu, mut actions) = node.arrive(0);
+            let mut probes = 0;
+            while let [Action::Probe { executor }, ..] = actions[..] {
+                probes += 1;
+                let reading = Reading { queue: Some(0.0), ..Reading::default() };
+                actions = node.tell(Event::Probed { executor, answered: true, lag: 1.0, reading });
+            }
+            assert!(push_of(&actions).is_some());
+            if !own_work {
+                node.end(wu, 0, Outcome::Completed);
+            }
+            most = most.max(probes);
+        }
+        assert_eq!(most, expected, "own work out: {own_work}");
+    }
+}
