--- a/src/rules.rs
+++ b/src/rules.rs
@@ -4,7 +4,7 @@
 //! and one `emit(now, &mut actions)` after them. `tell` only changes what is wanted; `emit` alone works out
 //! the difference to what is out, held and timed. The interface (events, actions, ids) stands in `terms.rs`.
 //!
-//! Order of reading: what is known (`ProjectType`, `Fleet`, `Wu`), `tell`, the rules, `draw`, `choose`, `emit`.
+//! Order of reading: what is known (`ProjectType`, `Fleet`, `Wu`), `tell`, rules, `draw`, `choose`, `emit`.
 use crate::terms::*;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -12,7 +12,9 @@
 
 /// Weight of one answer in the smoothed share of executors with work waiting: about the last hundred answers.
 const ANSWER_WEIGHT: f64 = 0.01;
-/// Weight of one ended allocation in a project type's running time: about the last thirty.
+/// How old readings are taken to be where half of them show a queue.
+const AGE_AT_HALF: Millis = 200.0;
+/// Weight of one ended allocation in a running time: about the last thirty.
 const RUN_WEIGHT: f64 = 0.03;
 /// How often d is worked out anew.
 const RECOMPUTE_EVERY: Millis = 1000.0;
@@ -25,8 +27,6 @@
 /// Readings count as late from this share of answers that lack own work, and for so long after.
 const LATE_SHARE: f64 = 0.02;
 const LATE_FOR: Millis = 5000.0;
-/// With more than this share of queues shown, until half of it, readings are too old for so many nodes.
-const QUEUES_ABOUT: f64 = 0.25;
 /// Traffic is uneven, so a node takes up to so many times its even part of what all share.
 const UNEVEN: f64 = 2.0;
 /// Distrust fades by this time constant.
@@ -35,19 +35,16 @@
 const COLD_HEADROOM: f64 = 0.8;
 /// A receipted work unit is resent only this part into its window, for the way there and clocks that differ.
 const WINDOW_MARGIN: f64 = 0.8;
-/// Weight of one running time in how slow an executor is, the time in which that fades, the excess (in
-/// logarithms) that chance alone may bring, and how strongly what is over it counts as distrust.
+/// Slowness: weight of one running time, the time in which it fades, the excess (in logarithms) that chance
+/// alone may bring, and how strongly what is over it counts as distrust.
 const SLOW_WEIGHT: f64 = 0.15;
 const SLOW_FADE: Millis = 10000.0;
 const SLOW: f64 = 0.4;
 const SLOW_DISTRUST: f64 = 8.0;
 /// Part of the time that a mean work unit has to spare within its promised turnaround; short ones have less.
 const PATIENCE: f64 = 0.25;
-/// A customer may save up what it did not ask for over so long.
-const SHARE_SPAN: Millis = 2000.0;
-/// A held work unit draws again after this part of its patience.
-const HOLD_PART: f64 = 0.5;
-
+/// Span over which own answers are counted, and over which a customer saves up what it did not ask for.
+const SPAN: Millis = 2000.0;
 /// So many listed executors are picked and asked whether they are ready before all are walked through.
 const PICKS: usize = 40;
 
@@ -64,7 +61,7 @@
     run: Millis,
     /// The same for its logarithm, which long tails sway less.
     log_run: f64,
-    runs_seen: u32,
+    runs_seen: f64,
 }
 
 /// The figures of the rule that no cold executor is pushed over.
@@ -102,8 +99,7 @@
     late_share: f64,
     late: bool,
     late_until: Millis,
-    /// Whether many readings show queues, and this node's part of what all share.
-    queues_about: bool,
+    /// This node's part of what all share.
     part: f64,
     /// Work units that wait for the probe that is wanted or out.
     awaiting: Vec<Vec<WuId>>,
@@ -159,10 +155,13 @@
 }
 
 /// How much to probe, and what that rests on.
+#[derive(Default)]
 struct Monitoring {
     draws: u32,
     at: Millis,
     waiting_share: Option<f64>,
+    /// Answers of late, fading, and when that was counted.
+    answers: (f64, Millis),
     lag: Option<Millis>,
     price: f64,
 }
@@ -189,6 +188,7 @@
     by_work: bool,
     cold: ColdRule,
     most_allocs: usize,
+    nodes: f64,
     come_back_told: bool,
     /// Where this node stands, if the settings price a push to another place.
     home: Option<PlaceId>,
@@ -220,16 +220,10 @@
     if left <= 0.0 || rho >= 1.0 {
         return None;
     }
-    let (mut sum, mut i) = (0.0, 1);
-    loop {
-        let term = rho.powf(if draws == 1 { i as f64 - 1.0 } else { (d.powi(i) - d) / (d - 1.0) });
-        sum += term;
-        i += 1;
-        // The terms fall faster than a geometric row; what is cut here cannot move the minimum.
-        if term < 1e-9 * sum || i > 10_000 {
-            return Some(rho / load * sum);
-        }
-    }
+    let power = |i: i32| if draws == 1 { i as f64 - 1.0 } else { (d.powi(i) - d) / (d - 1.0) };
+    // The first term is 1 and they fall like a geometric row or faster: what is cut cannot move the minimum.
+    let terms = (1..10_000).map(|i| rho.powf(power(i))).take_while(|&term| term > 1e-9);
+    Some(rho / load * terms.sum::<f64>())
 }
 
 /// The number of draws that makes the formula smallest; load follows by the tail law, share = load^(d+1).
@@ -297,7 +291,6 @@
     /// Guards against readings that come seconds late, which draw all nodes to the same executors: one that
     /// shows less in use than this node alone has had out there for long cannot be of now.
     fn judge_reading(&mut self, e: usize, now: Millis, reading: &Reading) -> Option<String> {
-        // In slots where they are shown: work units may take more than one.
         let used = reading.free_slots.map(|free| self.slots[e] - free + reading.queue.unwrap_or(0.0));
         let used = used.or(reading.held).unwrap_or(f64::INFINITY).max(0.0);
         let own_old = self.own_out[e] - self.own_since(e, now - self.mean_run.max(READING_LIFE), 0.0);
@@ -307,8 +300,8 @@
             self.late_until = now + LATE_FOR;
         }
         let was = std::mem::replace(&mut self.late, now < self.late_until);
-        let (late, share) = (self.late, self.late_share);
-        (was != late).then(|| format!("readings late: {late}, {share:.3} of answers lack own work"))
+        let log = || format!("readings late: {}, {:.3} of answers lack own work", !was, self.late_share);
+        (was != self.late).then(log)
     }
 
     /// Slots of an executor: as its reports show, else the least that any has shown.
@@ -319,14 +312,13 @@
     /// The queue that a work unit of so many slots would stand in, with the slots that it lacks there now.
     fn queue_for(&self, e: usize, now: Millis, slots: f64, reading: &Reading) -> (f64, f64) {
         let waiting = reading.queue.or(reading.held).unwrap_or(0.0);
-        let Some(free) = reading.free_slots else { return (waiting.round(), self.own_out[e]) };
+        let Some(free) = reading.free_slots else { return (waiting.round(), f64::INFINITY) };
         // Guards against readings that come late or stand still: what this node has out there is there.
-        // Guards against all nodes filling one up on old readings: with queues about, each keeps to its part.
-        let part = if self.queues_about || self.late { self.part } else { 1.0 };
+        let part = if self.late { self.part } else { 1.0 };
         let own = (self.slots_of(e) * part).max(slots) - self.own_out[e];
         let free = if self.late { own } else { (free - self.unseen(e, now)).min(own) };
         let waiting = if self.late { 0.0 } else { waiting };
-        ((waiting + (slots - free).max(0.0)).round(), 1.0 - free / self.slots_of(e))
+        ((waiting + (slots - free).max(0.0)).round(), free)
     }
 }
 
@@ -348,14 +340,14 @@
                 only_kind: (kind >= 0.0).then_some(MachineKindId(kind as u32)),
                 run: number("promised_turnaround"),
                 log_run: number("promised_turnaround").max(1.0).ln(),
-                runs_seen: 0,
+                runs_seen: 0.0,
             });
         }
         let nodes = values.number("nodes", 1.0).max(1.0);
         let part = (UNEVEN / nodes).min(1.0);
         let share = |k: usize| format!("customers.{k}.share_per_s");
         let per_ms = |k| values.number(&share(k), 0.0) * part / 1000.0;
-        let full = |k| Share { left: per_ms(k) * SHARE_SPAN, at: now, per_ms: per_ms(k) };
+        let full = |k| Share { left: per_ms(k) * SPAN, at: now, per_ms: per_ms(k) };
         let shares = (0..).take_while(|&k| values.holds(&share(k))).map(full).collect();
         Dispatcher {
             rng: ChaCha8Rng::seed_from_u64(seed),
@@ -369,6 +361,7 @@
                 fall: values.number("rules.fall", 0.0),
                 part: values.number("rules.fall_multiple", 1.0) / nodes,
             },
+            nodes,
             most_allocs: values.number("limits.most_allocations", 1.0) as usize,
             come_back_told: values.flag("limits.come_back_told"),
             home: (values.number("prices.cross_place", 0.0) > 0.0)
@@ -383,9 +376,8 @@
             monitoring: Monitoring {
                 draws: 2,
                 at: now,
-                waiting_share: None,
-                lag: None,
                 price: values.number("prices.probe", 0.0),
+                ..Monitoring::default()
             },
             following: Following {
                 ask_at: if values.text("list_mode") == "asked" { now } else { f64::INFINITY },
@@ -411,7 +403,7 @@
             Event::Arrived { wu, project_type, customer, slots, left, again, .. } => {
                 let project_type = project_type.0 as usize;
                 if project_type < self.types.len() && !self.wus.contains_key(&wu) {
-                    let fresh = Wu {
+                    let wanted = Wu {
                         project_type,
                         slots: slots.max(1.0),
                         over: self.over_share(now, customer, again),
@@ -420,7 +412,7 @@
                         wake: f64::INFINITY,
                         ..Wu::default()
                     };
-                    self.wus.insert(wu, fresh);
+                    self.wus.insert(wu, wanted);
                     self.draw(now, wu);
                 }
             }
@@ -452,7 +444,7 @@
     /// Whether this work unit is beyond its customer's share; a client that asks again is not counted twice.
     fn over_share(&mut self, now: Millis, customer: CustomerId, again: bool) -> bool {
         let Some(share) = self.shares.get_mut(customer.0 as usize) else { return false };
-        share.left = (share.left + share.per_ms * (now - share.at)).min((share.per_ms * SHARE_SPAN).max(1.0));
+        share.left = (share.left + share.per_ms * (now - share.at)).min((share.per_ms * SPAN).max(1.0));
         share.at = now;
         let over = share.left < 1.0;
         share.left -= if over || again { 0.0 } else { 1.0 };
@@ -485,27 +477,20 @@
 
     fn on_probed(&mut self, now: Millis, executor: ExecutorId, answer: Option<(Millis, Reading)>) {
         let e = executor.0 as usize;
-        if e >= self.fleet.listed.len() {
-            return;
-        }
+        let Some(_) = self.fleet.listed.get(e) else { return };
         self.fleet.probe_out[e] = false;
         if let Some((lag, reading)) = answer {
             let m = &mut self.monitoring;
-            let was = m.lag.unwrap_or(lag);
-            m.lag = Some(was + 0.05 * (lag - was));
+            m.answers = (faded(m.answers, now, SPAN) + 1.0, now);
+            let usual = m.lag.get_or_insert(lag);
+            *usual += 0.05 * (lag - *usual);
             let waiting = if reading.queue.unwrap_or(0.0) >= 0.5 { 1.0 } else { 0.0 };
-            let share = *m.waiting_share.get_or_insert(0.25);
-            m.waiting_share = Some(share + ANSWER_WEIGHT * (waiting - share));
-            let queues_about = share > QUEUES_ABOUT * if self.fleet.queues_about { 0.5 } else { 1.0 };
-            if queues_about != self.fleet.queues_about {
-                self.fleet.queues_about = queues_about;
-                self.log.push(format!("queues about: {queues_about}, at {share:.3} of executors"));
-            }
+            let share = m.waiting_share.get_or_insert(0.25);
+            *share += ANSWER_WEIGHT * (waiting - *share);
             let running = (reading.held.unwrap_or(0.0) - reading.queue.unwrap_or(0.0)).max(0.0);
             let shown = reading.free_slots.unwrap_or(0.0) + running;
             self.fleet.slots[e] = self.fleet.slots[e].max(shown.round());
-            let mode = self.fleet.judge_reading(e, now, &reading);
-            self.log.extend(mode);
+            self.log.extend(self.fleet.judge_reading(e, now, &reading));
             if self.fleet.reading[e] != reading {
                 self.fleet.reading[e] = reading;
                 self.fleet.read_at[e] = now;
@@ -532,18 +517,15 @@
         a.outcome = Some(outcome);
         let (executor, e) = (a.executor, a.executor.0 as usize);
         self.fleet.own_change(e, now, -w.slots);
-        let distrust = match outcome {
-            Outcome::Completed | Outcome::NotSent | Outcome::Cancelled => 0.0,
-            // Only executors that showed room are sent to; one that is full all the same reports wrongly.
-            Outcome::Full | Outcome::Error | Outcome::TimedOut | Outcome::NoConnection => 1.0,
-            Outcome::Reset => 2.0,
-        };
-        self.fleet.add_distrust(e, now, distrust);
+        // Only executors that showed room are sent to; one that is full all the same reports wrongly.
+        if !matches!(outcome, Outcome::Completed | Outcome::NotSent | Outcome::Cancelled) {
+            self.fleet.add_distrust(e, now, 1.0);
+        }
         if outcome == Outcome::Completed {
             let ran = now - a.sent;
             let kind = &mut self.types[w.project_type];
-            kind.runs_seen = kind.runs_seen.saturating_add(1);
-            let (weight, log_ran) = (RUN_WEIGHT.max(1.0 / kind.runs_seen as f64), ran.max(1.0).ln());
+            kind.runs_seen += 1.0;
+            let (weight, log_ran) = (RUN_WEIGHT.max(1.0 / kind.runs_seen), ran.max(1.0).ln());
             kind.run += (ran - kind.run) * weight;
             self.fleet.mean_run += (ran - self.fleet.mean_run) * RUN_WEIGHT;
             kind.log_run += (log_ran - kind.log_run) * weight;
@@ -551,9 +533,9 @@
             self.fleet.slower[e] = (score + SLOW_WEIGHT * (log_ran - kind.log_run - score), now);
         }
         if closed {
-            self.forget(wu);
+            self.forget(wu)
         } else {
-            self.draw(now, wu);
+            self.draw(now, wu)
         }
         if outcome == Outcome::Completed {
             self.room_at(now, executor);
@@ -623,8 +605,8 @@
         }
     }
 
-    /// What this node has left of an executor's cold budget, in slot-milliseconds: one part in as many as there
-    /// are nodes, so that all together stay under the whole without a word between them.
+    /// What this node has left of an executor's cold budget, in slot-milliseconds: one part in as many as
+    /// there are nodes, so that all together stay under the whole without a word between them.
     fn cold_room(&self, e: usize, now: Millis) -> f64 {
         let fall = self.cold.fall;
         let warm_then = self.warmth(e, now - fall);
@@ -661,8 +643,8 @@
         chance > 0.98 || self.rng.random::<f64>() < chance
     }
 
-    /// One ready executor, each with the same chance. Where chance lets none through, all that are allowed are
-    /// ready; those that `but` names come only where there is no other.
+    /// One ready executor, each with the same chance. Where chance lets none through, all that are allowed
+    /// are ready; those that `but` names come only where there is no other.
     fn pick(&mut self, now: Millis, wu: WuId, but: &[ExecutorId]) -> Option<ExecutorId> {
         // Guards against work that grows with the fleet: a healthy one at random, then whether it is ready.
         for _ in 0..if self.fleet.healthy.is_empty() { 0 } else { PICKS } {
@@ -724,12 +706,22 @@
         self.want(wu, Wanted::Probed, wake);
     }
 
-    /// The shortest queue first; among equal ones the node's own place where crossing is priced, then the least
-    /// part of the slots in use, which guards against the herd of all nodes on readings that are a little old.
+    /// The shortest queue first; among equal ones the node's own place where crossing is priced, then the
+    /// least part of the slots in use, which guards against the herd of all nodes on readings a little old.
     fn rank(&self, now: Millis, w: &Wu, executor: ExecutorId, reading: &Reading) -> (f64, bool, f64) {
         let e = executor.0 as usize;
-        let (queue, used) = self.fleet.queue_for(e, now, w.slots, reading);
-        (queue, self.home.is_some_and(|home| self.fleet.listed[e].place != home), used)
+        let (queue, free) = self.fleet.queue_for(e, now, w.slots, reading);
+        let crossed = self.home.is_some_and(|home| self.fleet.listed[e].place != home);
+        (queue, crossed, -free / self.fleet.slots_of(e))
+    }
+
+    /// About how many probes of other nodes see the same reading as one of ours: they probe as often as this
+    /// node, and a reading is taken to be the older the more queues show, as pushes only go where none does.
+    fn others_at_a_reading(&self, now: Millis) -> f64 {
+        let m = &self.monitoring;
+        let age = AGE_AT_HALF * (2.0 * m.waiting_share.unwrap_or(0.0)).powi(4);
+        let own = faded(m.answers, now, SPAN) / SPAN;
+        (self.nodes - 1.0) * own * age / self.fleet.healthy.len().max(1) as f64
     }
 
     /// With all answers in, the best of those drawn; among equal ones chance decides.
@@ -748,6 +740,14 @@
             }
         }
         let (draws, answered) = (w.draws, !best.is_empty());
+        if answered && least.0 < 0.5 {
+            // Guards against the herd of all nodes on one reading: with as many of them as have seen it, each
+            // takes what it shows free by a chance that lets about that much through.
+            let free = -least.2 * self.fleet.slots_of(best[0].0 as usize);
+            if self.rng.random::<f64>() * self.others_at_a_reading(now) * w.slots > free {
+                least.0 = 1.0;
+            }
+        }
         if !answered && draws >= 2 {
             // No answer at all: one more draw, then one of the ready at random.
             best.extend(self.pick(now, wu, &[]));
@@ -770,7 +770,8 @@
         self.want(wu, Wanted::Out(executor, cut_at), f64::INFINITY);
     }
 
-    /// Holds a work unit while it may well end within its promised turnaround, then gives it up at once.
+    /// Holds a work unit, to draw again halfway, while it may well end within its promised turnaround, then
+    /// gives it up at once.
     fn hold(&mut self, now: Millis, wu: WuId) {
         let Some(w) = self.wus.get(&wu) else { return };
         let kind = &self.types[w.project_type];
@@ -780,7 +781,7 @@
         if now >= until || (w.over && !self.held.is_empty()) {
             return self.give_up(now, wu);
         }
-        self.want(wu, Wanted::Held, (now + HOLD_PART * patience).min(until));
+        self.want(wu, Wanted::Held, (now + patience / 2.0).min(until));
     }
 
     /// An own allocation has ended: the held work unit that earns most for its work asks for room there.
@@ -793,8 +794,7 @@
         };
         // The first of equals is wanted, so the search goes from the newest to the longest held.
         let best = self.held.iter().rev().max_by(|a, b| earns(a).total_cmp(&earns(b))).copied();
-        let Some(wu) = best else { return };
-        if self.allowed(now, &self.wus[&wu], executor) {
+        if let Some(wu) = best.filter(|wu| self.allowed(now, &self.wus[wu], executor)) {
             self.probe(now, wu, vec![executor]);
         }
     }
