--- a/src/rules.rs
+++ b/src/rules.rs
@@ -35,12 +35,6 @@
 const COLD_HEADROOM: f64 = 0.8;
 /// A receipted work unit is resent only this part into its window, for the way there and clocks that differ.
 const WINDOW_MARGIN: f64 = 0.8;
-/// Slowness: weight of one running time, the time in which it fades, the excess (in logarithms) that chance
-/// alone may bring, and how strongly what is over it counts as distrust.
-const SLOW_WEIGHT: f64 = 0.15;
-const SLOW_FADE: Millis = 10000.0;
-const SLOW: f64 = 0.4;
-const SLOW_DISTRUST: f64 = 8.0;
 /// Part of the time that a mean work unit has to spare within its promised turnaround; short ones have less.
 const PATIENCE: f64 = 0.25;
 /// Span over which own answers are counted, and over which a customer saves up what it did not ask for.
@@ -59,8 +53,6 @@
     only_kind: Option<MachineKindId>,
     /// Smoothed running time; the promised turnaround stands in until an allocation has ended.
     run: Millis,
-    /// The same for its logarithm, which long tails sway less.
-    log_run: f64,
     runs_seen: f64,
 }
 
@@ -79,8 +71,6 @@
     listed: Vec<Listing>,
     /// Score for what failed there, and when it was set.
     failed: Vec<(f64, Millis)>,
-    /// Smoothed logarithm of running times over the usual of their project type, and when it was learned.
-    slower: Vec<(f64, Millis)>,
     /// The most slots that reports have shown, and the least of these; it stands in where none are shown yet.
     slots: Vec<f64>,
     least_slots: f64,
@@ -239,7 +229,6 @@
         while self.listed.len() <= e {
             self.listed.push(Listing { phase: Phase::Gone, started: None, ..*entry });
             self.failed.push((0.0, 0.0));
-            self.slower.push((0.0, 0.0));
             self.slots.push(0.0);
             self.reading.push(Reading::default());
             self.read_at.push(0.0);
@@ -256,12 +245,6 @@
         self.listed[e] = *entry;
     }
 
-    /// Distrust of an executor: for what failed there, and for running times that plainly exceed the usual.
-    fn distrust(&self, e: usize, now: Millis) -> f64 {
-        let slower = faded(self.slower[e], now, SLOW_FADE) - SLOW;
-        faded(self.failed[e], now, DISTRUST_FADE) + SLOW_DISTRUST * slower.max(0.0)
-    }
-
     fn add_distrust(&mut self, e: usize, now: Millis, by: f64) {
         self.failed[e] = ((faded(self.failed[e], now, DISTRUST_FADE) + by).min(6.0), now);
     }
@@ -339,7 +322,6 @@
                 credit: number("credit"),
                 only_kind: (kind >= 0.0).then_some(MachineKindId(kind as u32)),
                 run: number("promised_turnaround"),
-                log_run: number("promised_turnaround").max(1.0).ln(),
                 runs_seen: 0.0,
             });
         }
@@ -525,12 +507,8 @@
             let ran = now - a.sent;
             let kind = &mut self.types[w.project_type];
             kind.runs_seen += 1.0;
-            let (weight, log_ran) = (RUN_WEIGHT.max(1.0 / kind.runs_seen), ran.max(1.0).ln());
-            kind.run += (ran - kind.run) * weight;
+            kind.run += (ran - kind.run) * RUN_WEIGHT.max(1.0 / kind.runs_seen);
             self.fleet.mean_run += (ran - self.fleet.mean_run) * RUN_WEIGHT;
-            kind.log_run += (log_ran - kind.log_run) * weight;
-            let score = faded(self.fleet.slower[e], now, SLOW_FADE);
-            self.fleet.slower[e] = (score + SLOW_WEIGHT * (log_ran - kind.log_run - score), now);
         }
         if closed {
             self.forget(wu)
@@ -639,7 +617,7 @@
     /// Chance by warmth and by trust decides who of the allowed is ready.
     fn let_through(&mut self, now: Millis, executor: ExecutorId) -> bool {
         let e = executor.0 as usize;
-        let chance = self.warmth(e, now) * (-self.fleet.distrust(e, now)).exp();
+        let chance = self.warmth(e, now) * (-faded(self.fleet.failed[e], now, DISTRUST_FADE)).exp();
         chance > 0.98 || self.rng.random::<f64>() < chance
     }
 
