--- a/crates/wirehost/src/host.rs
+++ b/crates/wirehost/src/host.rs
@@ -59,6 +59,11 @@
     }
 }
 
+/// FNV-1a of a name, so that every node has the same number for it.
+fn token(name: &str) -> u64 {
+    name.bytes().fold(0xcbf29ce484222325, |hash, byte| (hash ^ byte as u64).wrapping_mul(0x100000001b3))
+}
+
 fn millis(micros: u64) -> Millis {
     micros as f64 / 1000.0
 }
@@ -214,6 +219,7 @@
         let Some(instance) = self.instances.get_mut(&told.i) else { return Ok(()) };
         let listing = |entry: &decode::Entry| Listing {
             executor: instance.executor(&entry.executor),
+            token: token(&entry.executor),
             place: PlaceId(entry.dc.unwrap_or(0)),
             kind: MachineKindId(entry.hw.unwrap_or(0)),
             group: GroupId(entry.stripe.unwrap_or(0)),
--- a/crates/wirehost/src/naming.rs
+++ b/crates/wirehost/src/naming.rs
@@ -32,6 +32,7 @@
     ("limits.max_retry_after", "limits.longest_come_back", Micros),
     ("limits.probes", "limits.probes", Flag),
     ("limits.retry_after", "limits.come_back_told", Flag),
+    ("me", "node", Number),
     ("overage_credit", "credit_over_share", Number),
     ("project_types.*.credit", "project_types.*.credit", Number),
     ("project_types.*.effect", "project_types.*.effect", Text),
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -33,6 +33,8 @@
 const DISTRUST_FADE: Millis = 4000.0;
 /// Part of the cold budget that is used: running times are heavy-tailed and only learned means are known.
 const COLD_HEADROOM: f64 = 0.8;
+/// The cold budget of an executor is dealt to so many of the nodes.
+const DEALT: u64 = 4;
 /// A receipted work unit is resent only this part into its window, for the way there and clocks that differ.
 const WINDOW_MARGIN: f64 = 0.8;
 /// Part of the time that a mean work unit has to spare within its promised turnaround; short ones have less.
@@ -61,8 +63,9 @@
     share: f64,
     ramp: Millis,
     fall: Millis,
-    /// This node's part of what all may send.
-    part: f64,
+    multiple: f64,
+    /// This node's number, if it is told.
+    node: Option<u64>,
 }
 
 /// What is known of executors, in parallel arrays under the executor's number.
@@ -76,6 +79,8 @@
     least_slots: f64,
     /// The healthy ones: who may be drawn.
     healthy: Vec<ExecutorId>,
+    /// The cold ones of them whose budget is dealt to this node.
+    dealt: Vec<ExecutorId>,
     reading: Vec<Reading>,
     /// When this reading was first seen; the same one comes back until the executor makes a new one.
     read_at: Vec<Millis>,
@@ -341,7 +346,8 @@
                 share: values.number("rules.cold_share", 1.0),
                 ramp: values.number("rules.ramp_time", 0.0),
                 fall: values.number("rules.fall", 0.0),
-                part: values.number("rules.fall_multiple", 1.0) / nodes,
+                multiple: values.number("rules.fall_multiple", 1.0),
+                node: values.holds("node").then_some(values.number("node", 0.0) as u64),
             },
             nodes,
             most_allocs: values.number("limits.most_allocations", 1.0) as usize,
@@ -583,17 +589,25 @@
         }
     }
 
-    /// What this node has left of an executor's cold budget, in slot-milliseconds: one part in as many as
-    /// there are nodes, so that all together stay under the whole without a word between them.
+    /// This node's part of an executor's cold budget. It is dealt to a few nodes that follow from the executor
+    /// alone: all together stay under the whole, and among hundreds a part is still more than a work unit.
+    fn cold_part(&self, e: usize) -> f64 {
+        let (nodes, dealt) = (self.nodes as u64, DEALT.min(self.nodes as u64));
+        let Some(node) = self.cold.node else { return 1.0 / self.nodes };
+        let place = (node % nodes + nodes - self.fleet.listed[e].token % nodes) % nodes;
+        if place < dealt { 1.0 / dealt as f64 } else { 0.0 }
+    }
+
+    /// What this node has left of an executor's cold budget, in slot-milliseconds.
     fn cold_room(&self, e: usize, now: Millis) -> f64 {
         let fall = self.cold.fall;
         let warm_then = self.warmth(e, now - fall);
         if warm_then >= 1.0 {
             return f64::INFINITY;
         }
-        let budget = COLD_HEADROOM * self.cold.part * warm_then * self.fleet.slots_of(e) * fall;
+        let whole = self.cold.multiple * warm_then * self.fleet.slots_of(e) * fall;
         let spent = self.fleet.cold_spent[e].iter().filter(|&&(at, _)| at >= now - fall);
-        budget - spent.map(|&(_, work)| work).sum::<f64>()
+        COLD_HEADROOM * whole * self.cold_part(e) - spent.map(|&(_, work)| work).sum::<f64>()
     }
 
     fn cost(&self, w: &Wu) -> f64 {
@@ -624,9 +638,13 @@
     /// One ready executor, each with the same chance. Where chance lets none through, all that are allowed
     /// are ready; those that `but` names come only where there is no other.
     fn pick(&mut self, now: Millis, wu: WuId, but: &[ExecutorId]) -> Option<ExecutorId> {
+        // The few nodes to which a cold one's budget is dealt draw it for all the others too.
+        let dealt = self.fleet.dealt.len() as f64 * (self.nodes / DEALT as f64 - 1.0).max(0.0);
+        let to_dealt = dealt / (dealt + self.fleet.healthy.len().max(1) as f64);
         // Guards against work that grows with the fleet: a healthy one at random, then whether it is ready.
         for _ in 0..if self.fleet.healthy.is_empty() { 0 } else { PICKS } {
-            let x = self.fleet.healthy[self.rng.random_range(0..self.fleet.healthy.len())];
+            let of = if self.rng.random_bool(to_dealt) { &self.fleet.dealt } else { &self.fleet.healthy };
+            let x = of[self.rng.random_range(0..of.len())];
             if !but.contains(&x) && self.allowed(now, self.wus.get(&wu)?, x) && self.let_through(now, x) {
                 return Some(x);
             }
@@ -782,8 +800,12 @@
         let m = &mut self.monitoring;
         let Some(share) = m.waiting_share.filter(|_| now - m.at >= RECOMPUTE_EVERY) else { return };
         m.at = now;
-        let least = self.fleet.slots.iter().copied().filter(|&slots| slots > 0.0).min_by(f64::total_cmp);
-        self.fleet.least_slots = least.unwrap_or(1.0);
+        let mut dealt = self.fleet.healthy.clone();
+        dealt.retain(|x| self.warmth(x.0 as usize, now) < 1.0 && self.cold_part(x.0 as usize) > 0.0);
+        self.fleet.dealt = dealt;
+        let shown = self.fleet.slots.iter().copied().filter(|&slots| slots > 0.0);
+        self.fleet.least_slots = shown.min_by(f64::total_cmp).unwrap_or(1.0);
+        let m = &mut self.monitoring;
         // The design's C, probe latency over running time, and what the settings charge for a probe as a
         // share of what a work unit earns.
         let cost = m.lag.unwrap_or(0.0) / self.fleet.mean_run.max(1.0) + m.price;
--- a/src/terms.rs
+++ b/src/terms.rs
@@ -126,6 +126,8 @@
 #[derive(Clone, Copy, PartialEq, Debug)]
 pub struct Listing {
     pub executor: ExecutorId,
+    /// A number that stands for this executor at every node alike.
+    pub token: u64,
     pub place: PlaceId,
     pub kind: MachineKindId,
     pub group: GroupId,
