--- a/src/rules.rs
+++ b/src/rules.rs
@@ -16,24 +16,22 @@
 const AGE_AT_HALF: Millis = 200.0;
 /// Weight of one ended allocation in a running time: about the last thirty.
 const RUN_WEIGHT: f64 = 0.03;
-/// How often d is worked out anew.
 const RECOMPUTE_EVERY: Millis = 1000.0;
 /// The most draws that are tried: an executor with several slots rarely makes work wait, and probes cost.
 const MOST_DRAWS: u32 = 3;
-/// How long a reading may have been under way when it is first seen.
+/// How long a reading may have been under way when first seen, and when one that looks the same is a new one.
 const READING_DELAY: Millis = 40.0;
-/// A reading that still looks the same after this is taken to be made anew.
 const READING_LIFE: Millis = 500.0;
 /// Readings count as late from this share of answers that lack own work, and for so long after.
 const LATE_SHARE: f64 = 0.02;
 const LATE_FOR: Millis = 5000.0;
 /// Traffic is uneven, so a node takes up to so many times its even part of what all share.
 const UNEVEN: f64 = 2.0;
-/// Distrust fades by this time constant.
+/// Distrust fades by this time constant; a running time over the usual adds so much of its logarithm to it.
 const DISTRUST_FADE: Millis = 4000.0;
-/// Part of the cold budget that is used: running times are heavy-tailed and only learned means are known.
+const SLOW_DISTRUST: f64 = 0.7;
+/// Part of the cold budget that is used, as only mean running times are known; to so many nodes it is dealt.
 const COLD_HEADROOM: f64 = 0.8;
-/// The cold budget of an executor is dealt to so many of the nodes.
 const DEALT: u64 = 4;
 /// A receipted work unit is resent only this part into its window, for the way there and clocks that differ.
 const WINDOW_MARGIN: f64 = 0.8;
@@ -515,6 +513,8 @@
             kind.runs_seen += 1.0;
             kind.run += (ran - kind.run) * RUN_WEIGHT.max(1.0 / kind.runs_seen);
             self.fleet.mean_run += (ran - self.fleet.mean_run) * RUN_WEIGHT;
+            // Guards against slow executors; the logarithm forgives the long tail of ordinary running times.
+            self.fleet.add_distrust(e, now, SLOW_DISTRUST * (ran / kind.run).ln().max(0.0));
         }
         if closed {
             self.forget(wu)
@@ -589,7 +589,7 @@
         }
     }
 
-    /// This node's part of an executor's cold budget. It is dealt to a few nodes that follow from the executor
+    /// This node's part of an executor's cold budget. It is dealt to few nodes that follow from the executor
     /// alone: all together stay under the whole, and among hundreds a part is still more than a work unit.
     fn cold_part(&self, e: usize) -> f64 {
         let (nodes, dealt) = (self.nodes as u64, DEALT.min(self.nodes as u64));
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -346,3 +346,22 @@
         assert_eq!(most, expected, "own work out: {own_work}");
     }
 }
+
+/// An executor that takes far longer than its peers is drawn less, and is tried again as distrust fades.
+#[test]
+fn slow_executors_are_drawn_less_for_a_while() {
+    let mut node = node(1.0);
+    node.warm(4);
+    let share_of_slow = |node: &mut Node, slow: Millis| {
+        let mut at_slow = 0;
+        for _ in 0..200 {
+            let (wu, executor) = node.pushed(0);
+            at_slow += (executor.0 == 0) as u32;
+            node.now += if executor.0 == 0 { slow } else { 50.0 };
+            node.end(wu, 0, Outcome::Completed);
+        }
+        at_slow
+    };
+    let (even, slow) = (share_of_slow(&mut node, 50.0), share_of_slow(&mut node, 500.0));
+    assert!(even > 30 && slow < even * 3 / 4 && slow > 0, "{even} before, {slow} when ten times slower");
+}
