--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -365,3 +365,30 @@
     let (even, slow) = (share_of_slow(&mut node, 50.0), share_of_slow(&mut node, 500.0));
     assert!(even > 30 && slow < even * 3 / 4 && slow > 0, "{even} before, {slow} when ten times slower");
 }
+
+/// Odd figures and lists break nothing: whatever is taken still ends in one answer, and no push goes to who left.
+#[test]
+fn odd_numbers_and_shrinking_fleets() {
+    for (nodes, me) in [(0.0, None), (0.0, Some(0.0)), (3.0, Some(7.0)), (-2.0, Some(-1.0)), (1e9, Some(5.0))]
+    {
+        let mut node = node_of(nodes, me);
+        node.now = 50_000.0;
+        let started = |e| if e % 2 == 0 { Some(49_000.0) } else { None };
+        let all: Vec<Listing> = (0..3000).map(|e| listing(e * 5, e, Phase::Healthy, started(e))).collect();
+        node.list(ListKind::Whole, &all);
+        let (wu, actions) = node.arrive(3);
+        // All but one leave while the probes are out; their answers come after that.
+        node.list(ListKind::Whole, &all[1..2]);
+        let mut seen = node.answer(actions, |_| 0.0);
+        while said(&seen) == 'h' && node.now < 56_000.0 {
+            node.now += 5.0;
+            let actions = node.tell(Event::TimerFired);
+            seen = node.answer(actions, |_| 0.0);
+        }
+        assert!(push_of(&seen).is_none_or(|executor| executor == all[1].executor), "{nodes} {me:?}");
+        assert_ne!(said(&seen), 'h', "{nodes} {me:?}");
+        if push_of(&seen).is_some() {
+            assert_eq!(said(&node.end(wu, 0, Outcome::Reset)), 'a');
+        }
+    }
+}
