--- a/src/rules.rs
+++ b/src/rules.rs
@@ -78,7 +78,7 @@
     least_slots: f64,
     /// The healthy ones: who may be drawn.
     healthy: Vec<ExecutorId>,
-    /// The cold ones of them whose budget is dealt to this node.
+    /// The cold ones of them of whose budget this node holds more than an even part.
     dealt: Vec<ExecutorId>,
     reading: Vec<Reading>,
     /// When this reading was first seen; the same one comes back until the executor makes a new one.
@@ -294,7 +294,7 @@
         if self.slots[e] > 0.0 { self.slots[e] } else { self.least_slots }
     }
 
-    /// The queue that a work unit of so many slots would stand in, with the slots that it lacks there now.
+    /// The queue that a work unit would stand in, with the slots that it lacks there now; and the free slots.
     fn queue_for(&self, e: usize, now: Millis, slots: f64, reading: &Reading) -> (f64, f64) {
         let waiting = reading.queue.or(reading.held).unwrap_or(0.0);
         let Some(free) = reading.free_slots else { return (waiting.round(), f64::INFINITY) };
@@ -490,7 +490,7 @@
                 continue;
             }
             w.answers.extend(answer.map(|(_, reading)| (executor, reading)));
-            // Nothing that is still to be probed could be better than no queue, no crossing and no own work.
+            // With no queue, no crossing and no own work, those still to be probed could at best tie.
             let rank = answer.map(|(_, reading)| self.rank(now, &self.wus[&wu], executor, &reading));
             let best = self.fleet.own_out[e] < 0.5 && rank.is_some_and(|r| r.0 < 0.5 && !r.1);
             if best { self.choose(now, wu) } else { self.probe_next(now, wu) }
@@ -637,7 +637,7 @@
     /// that are allowed are ready; those that `but` names come only where there is no other.
     fn pick(&mut self, now: Millis, wu: WuId, but: &[ExecutorId]) -> Option<ExecutorId> {
         // The few nodes to which a cold one's budget is dealt draw it for all the others too.
-        let dealt = self.fleet.dealt.len() as f64 * (self.nodes / DEALT as f64 - 1.0).max(0.0);
+        let dealt = self.fleet.dealt.len() as f64 * (self.nodes / DEALT as f64 - 1.0);
         let to_dealt = dealt / (dealt + self.fleet.healthy.len().max(1) as f64);
         // Guards against work that grows with the fleet: a healthy one at random, then whether it is ready.
         for _ in 0..if self.fleet.healthy.is_empty() { 0 } else { PICKS } {
@@ -798,8 +798,8 @@
         let m = &mut self.monitoring;
         let Some(share) = m.waiting_share.filter(|_| now - m.at >= RECOMPUTE_EVERY) else { return };
         m.at = now;
-        let mut dealt = self.fleet.healthy.clone();
-        dealt.retain(|x| self.warmth(x.0 as usize, now) < 1.0 && self.cold_part(x.0 as usize) > 0.0);
+        let more = |e: usize| self.warmth(e, now) < 1.0 && self.cold_part(e) * self.nodes > 1.0;
+        let dealt = self.fleet.healthy.iter().copied().filter(|x| more(x.0 as usize)).collect();
         self.fleet.dealt = dealt;
         let shown = self.fleet.slots.iter().copied().filter(|&slots| slots > 0.0);
         self.fleet.least_slots = shown.min_by(f64::total_cmp).unwrap_or(1.0);
