--- /dev/null
+++ b/crates/daemon/src/limits.rs
@@ -0,0 +1,107 @@
+//! Sizes, counts and times that the node keeps to. They are filled once, at start, and handed down.
+use std::time::Duration;
+
+/// What the deployment states, from which the rest follows.
+pub struct Stated {
+    pub memory_mb: u64,
+    pub sockets: u64,
+    pub connect_wait: Option<Duration>,
+    pub executors_idle: Option<Duration>,
+    pub drain_grace: Option<Duration>,
+}
+
+#[derive(Clone, Debug)]
+pub struct Limits {
+    /// Each ring buffer; a message's head must fit in one.
+    pub ring: usize,
+    pub body: usize,
+    /// Bodies and results that are held for open work units, all together.
+    pub held_bytes: usize,
+    /// One line of the list.
+    pub list_line: usize,
+    /// Client connections that are served; so many more are accepted only to be told that the node is full.
+    pub clients: usize,
+    pub turned_away: usize,
+    /// Connections to executors, and those of them that probes may not take.
+    pub executors: usize,
+    pub work_units: usize,
+    /// Events that may wait for the driver.
+    pub events: usize,
+    /// How long a head or a body may take to come, and an answer to be taken.
+    pub client_wait: Duration,
+    pub client_idle: Duration,
+    pub connect_wait: Duration,
+    pub probe_wait: Duration,
+    /// A pooled connection is not used again after it stood idle for so long.
+    pub retire_after: Duration,
+    /// How long after a work unit's result the end of the answer may take, for the connection to be kept.
+    pub tail_wait: Duration,
+    /// An executor that drains or is gone is sent nothing that was decided before from then on.
+    pub drain_wait: Duration,
+    /// How much sooner than the client gives up a work unit's limit is set, and its last answer sent.
+    pub answer_margin: Duration,
+    pub last_answer_margin: Duration,
+    /// The list is taken for broken off when it says nothing for so long.
+    pub list_silence: Duration,
+    /// After the signal to end: until then all goes on as before, then idle connections close; what is out
+    /// is cut; what is still open is answered.
+    pub linger: Duration,
+    pub cut_after: Duration,
+    pub end_after: Duration,
+}
+
+/// Descriptors kept free for the log, the runtime, discovery and probes.
+const SPARE: u64 = 40;
+
+impl Limits {
+    pub fn of(stated: &Stated) -> Self {
+        let sockets = stated.sockets.clamp(64, 1 << 20) - SPARE;
+        let memory = stated.memory_mb.clamp(16, 1 << 20) as usize * 1024 * 1024;
+        let ring = 16 * 1024;
+        // A quarter of the memory for rings, two for each connection; a quarter for what is held.
+        let connections = (sockets as usize).min(memory / 4 / (2 * ring));
+        let turned_away = (connections / 16).max(2);
+        let executors = (connections - turned_away) * 9 / 20;
+        let clients = connections - turned_away - executors;
+        let part = |whole: Duration, of: f64| whole.mul_f64(of);
+        let connect_wait = stated.connect_wait.unwrap_or(Duration::from_millis(250));
+        Limits {
+            ring,
+            body: 64 * 1024,
+            held_bytes: memory / 4,
+            list_line: (memory / 24).min(8 * 1024 * 1024),
+            clients,
+            turned_away,
+            executors,
+            work_units: clients,
+            events: 4096,
+            client_wait: Duration::from_secs(10),
+            client_idle: Duration::from_secs(120),
+            connect_wait,
+            probe_wait: connect_wait,
+            retire_after: part(stated.executors_idle.unwrap_or(Duration::from_secs(5)), 0.7),
+            tail_wait: Duration::from_millis(100),
+            drain_wait: part(stated.drain_grace.unwrap_or_default(), 0.5),
+            answer_margin: Duration::from_millis(25),
+            last_answer_margin: Duration::from_millis(8),
+            list_silence: Duration::from_millis(2600),
+            linger: Duration::from_millis(650),
+            cut_after: Duration::from_millis(2800),
+            end_after: Duration::from_millis(3400),
+        }
+    }
+}
+
+#[test]
+fn connections_and_memory_stay_within_what_is_stated() {
+    for (memory_mb, sockets) in [(192, 1024), (16, 64), (64, 100_000), (2048, 4096), (0, 0)] {
+        let stated =
+            Stated { memory_mb, sockets, connect_wait: None, executors_idle: None, drain_grace: None };
+        let l = Limits::of(&stated);
+        let connections = l.clients + l.turned_away + l.executors;
+        assert!(connections as u64 + SPARE <= sockets.max(64), "{l:?}");
+        let held = connections * 2 * l.ring + l.held_bytes + l.executors * l.body + l.list_line;
+        assert!(held <= memory_mb.max(16) as usize * 1024 * 1024 * 9 / 10, "{held} {l:?}");
+        assert!(l.clients > 0 && l.turned_away > 0 && l.executors > 0);
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/ring.rs
@@ -0,0 +1,137 @@
+//! The ring buffer that stands between a socket and the codec, one a direction of each connection.
+use std::io::{self, IoSlice, IoSliceMut};
+
+/// The first size that is taken; it doubles up to the most as bytes pile up.
+const FIRST: usize = 2048;
+
+/// Bytes in the order they came, never more than a fixed number. An empty ring holds no memory for long.
+pub struct Ring {
+    store: Vec<u8>,
+    start: usize,
+    len: usize,
+    most: usize,
+}
+
+impl Ring {
+    pub fn new(most: usize) -> Self {
+        Ring { store: Vec::new(), start: 0, len: 0, most }
+    }
+
+    pub fn len(&self) -> usize {
+        self.len
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.len == 0
+    }
+
+    pub fn is_full(&self) -> bool {
+        self.len == self.most
+    }
+
+    /// Gives the memory of an empty ring back, for connections that may stand idle for long.
+    pub fn release(&mut self) {
+        if self.len == 0 {
+            (self.store, self.start) = (Vec::new(), 0);
+        }
+    }
+
+    /// The bytes in one piece.
+    pub fn bytes(&mut self) -> &[u8] {
+        if self.start + self.len > self.store.len() {
+            self.store.rotate_left(self.start);
+            self.start = 0;
+        }
+        &self.store[self.start..self.start + self.len]
+    }
+
+    pub fn consume(&mut self, n: usize) {
+        assert!(n <= self.len, "more is consumed than there is");
+        self.len -= n;
+        self.start = if self.len == 0 { 0 } else { (self.start + n) % self.store.len() };
+    }
+
+    /// Takes as many of these bytes as there is room for.
+    pub fn push(&mut self, bytes: &[u8]) -> usize {
+        let taken = self.read_from(|parts| {
+            let mut taken = 0;
+            for part in parts {
+                let n = part.len().min(bytes.len() - taken);
+                part[..n].copy_from_slice(&bytes[taken..taken + n]);
+                taken += n;
+            }
+            Ok(taken)
+        });
+        let taken = taken.unwrap_or(0);
+        // The room grows step by step, so that a small message never takes the most.
+        if taken < bytes.len() && taken > 0 { taken + self.push(&bytes[taken..]) } else { taken }
+    }
+
+    /// Lets a reader fill the free room; how many bytes it says to have written are in the ring then.
+    pub fn read_from(
+        &mut self,
+        read: impl FnOnce(&mut [IoSliceMut]) -> io::Result<usize>,
+    ) -> io::Result<usize> {
+        if self.len == self.store.len() && self.len < self.most {
+            self.bytes();
+            self.store.rotate_left(self.start);
+            self.start = 0;
+            self.store.resize((2 * self.len).clamp(FIRST.min(self.most), self.most), 0);
+        }
+        let (size, end) = (self.store.len(), self.start + self.len);
+        let n = if self.len == size {
+            0
+        } else if end < size {
+            let (front, back) = self.store.split_at_mut(end);
+            read(&mut [IoSliceMut::new(back), IoSliceMut::new(&mut front[..self.start])])?
+        } else {
+            read(&mut [IoSliceMut::new(&mut self.store[end - size..self.start])])?
+        };
+        self.len += n;
+        Ok(n)
+    }
+
+    /// Lets a writer take bytes from the front; how many it says to have taken are gone then.
+    pub fn write_to(&mut self, write: impl FnOnce(&[IoSlice]) -> io::Result<usize>) -> io::Result<usize> {
+        let (size, end) = (self.store.len(), self.start + self.len);
+        let n = if end <= size {
+            write(&[IoSlice::new(&self.store[self.start..end])])?
+        } else {
+            write(&[IoSlice::new(&self.store[self.start..]), IoSlice::new(&self.store[..end - size])])?
+        };
+        self.consume(n);
+        Ok(n)
+    }
+}
+
+#[test]
+fn keeps_order_across_the_seam_and_never_grows_past_its_most() {
+    for most in [1, 7, 2048, 5000] {
+        let mut ring = Ring::new(most);
+        let (mut put, mut got) = (0u32, 0u32);
+        for step in 0..5000usize {
+            let wanted: Vec<u8> = (0..(step * 7919) % 97).map(|k| (put + k as u32) as u8).collect();
+            put += ring.push(&wanted) as u32;
+            assert!(ring.len() <= most && ring.store.len() <= most);
+            let n = ((step * 104_729) % 89).min(ring.len());
+            let expected: Vec<u8> = (0..n).map(|k| (got + k as u32) as u8).collect();
+            if step % 2 == 0 {
+                assert_eq!(ring.bytes()[..n], expected);
+                ring.consume(n);
+            } else {
+                let mut seen = Vec::new();
+                let write = |parts: &[IoSlice]| {
+                    parts.iter().for_each(|part| seen.extend_from_slice(part));
+                    Ok(n.min(seen.len()))
+                };
+                ring.write_to(write).unwrap();
+                assert_eq!(seen[..n], expected);
+            }
+            got += n as u32;
+        }
+        assert_eq!(put - got, ring.len() as u32);
+        ring.consume(ring.len());
+        ring.release();
+        assert_eq!(ring.store.capacity(), 0);
+    }
+}
--- /dev/null
+++ b/crates/hosting/src/lib.rs
@@ -0,0 +1,113 @@
+//! What every host of the dispatcher needs, said once: the settings under our own names, load readings, the
+//! dense numbers of executors, and the tokens that stand for them at every node alike.
+mod naming;
+
+pub use naming::named_values;
+use serde_json::{Map, Value};
+use std::collections::HashMap;
+use troutknot::{ExecutorId, Millis, Reading};
+
+/// FNV-1a of a name, so that every node has the same number for it.
+pub fn token(name: &str) -> u64 {
+    name.bytes().fold(0xcbf29ce484222325, |hash, byte| (hash ^ byte as u64).wrapping_mul(0x100000001b3))
+}
+
+pub fn millis(micros: u64) -> Millis {
+    micros as f64 / 1000.0
+}
+
+/// The executors' names under small dense numbers, given in the order of first mention.
+///
+/// ```
+/// use troutknot_hosting::Numbers;
+/// let mut numbers = Numbers::default();
+/// let (a, b) = (numbers.of("a"), numbers.of("b"));
+/// assert_eq!((numbers.of("a"), numbers.name(b)), (a, "b"));
+/// ```
+#[derive(Default)]
+pub struct Numbers {
+    names: Vec<Box<str>>,
+    numbers: HashMap<Box<str>, u32>,
+}
+
+impl Numbers {
+    /// The number of an executor; a name not met before gets the next one.
+    pub fn of(&mut self, name: &str) -> ExecutorId {
+        if let Some(&number) = self.numbers.get(name) {
+            return ExecutorId(number);
+        }
+        let number = self.names.len() as u32;
+        self.names.push(name.into());
+        self.numbers.insert(name.into(), number);
+        ExecutorId(number)
+    }
+
+    pub fn name(&self, executor: ExecutorId) -> &str {
+        &self.names[executor.0 as usize]
+    }
+}
+
+#[derive(Clone, Copy)]
+enum LoadField {
+    Queue,
+    Held,
+    FreeSlots,
+    FreeMemory,
+    Unused,
+}
+
+impl LoadField {
+    /// Both words that a field goes by: the simulator's wire and the sockets differ in some.
+    fn named(word: &str) -> Self {
+        match word {
+            "depth" | "queue" => LoadField::Queue,
+            "concurrent" | "inflight" => LoadField::Held,
+            "x0" => LoadField::FreeSlots,
+            "x1" => LoadField::FreeMemory,
+            _ => LoadField::Unused,
+        }
+    }
+
+    fn put(self, value: Option<f64>, reading: &mut Reading) {
+        let value = value.filter(|v| v.is_finite());
+        match self {
+            LoadField::Queue => reading.queue = value,
+            LoadField::Held => reading.held = value,
+            LoadField::FreeSlots => reading.free_slots = value,
+            LoadField::FreeMemory => reading.free_memory = value,
+            LoadField::Unused => {}
+        }
+    }
+}
+
+/// The fields of a load report, in the order that the settings state.
+#[derive(Default)]
+pub struct LoadFields(Vec<LoadField>);
+
+impl LoadFields {
+    pub fn stated(settings: &Map<String, Value>) -> Self {
+        let fields = settings.get("load_info").and_then(|info| info.get("fields")).and_then(Value::as_array);
+        let words = fields.into_iter().flatten().map(|field| field.as_str().unwrap_or(""));
+        LoadFields(words.map(LoadField::named).collect())
+    }
+
+    pub fn reading(&self, values: &[Option<f64>]) -> Reading {
+        let mut reading = Reading::default();
+        self.0.iter().zip(values).for_each(|(field, value)| field.put(*value, &mut reading));
+        reading
+    }
+}
+
+/// A load report written as `name=value,name=value`; what is not known or no number is skipped.
+///
+/// ```
+/// let reading = troutknot_hosting::named_reading("queue=2, x0=1.5,util=0.6,x1=odd");
+/// assert_eq!((reading.queue, reading.free_slots, reading.free_memory), (Some(2.0), Some(1.5), None));
+/// ```
+pub fn named_reading(text: &str) -> Reading {
+    let mut reading = Reading::default();
+    for (name, value) in text.split(',').filter_map(|pair| pair.split_once('=')) {
+        LoadField::named(name.trim()).put(value.trim().parse().ok(), &mut reading);
+    }
+    reading
+}
--- a/crates/wirehost/src/encode.rs
+++ b/crates/wirehost/src/encode.rs
@@ -1,5 +1,6 @@
 //! Actions as lines of the wire.
 use troutknot::{Action, Millis, WuId};
+use troutknot_hosting::Numbers;
 
 fn micros(at: Millis) -> u64 {
     (at * 1000.0).round().max(0.0) as u64
@@ -29,13 +30,13 @@
 }
 
 /// Writes one action of one instance as a line.
-pub fn action(out: &mut Vec<u8>, instance: u64, names: &[Box<str>], action: &Action) {
+pub fn action(out: &mut Vec<u8>, instance: u64, numbers: &Numbers, action: &Action) {
     match action {
         Action::Push { wu, executor, cut_at } => {
             open(out, "forward", instance);
             call(out, *wu);
             number(out, ",\"cut_at\":", micros(*cut_at));
-            text(out, ",\"executor\":", &names[executor.0 as usize]);
+            text(out, ",\"executor\":", numbers.name(*executor));
         }
         Action::Cancel { wu, alloc } => {
             open(out, "undo_send", instance);
@@ -55,7 +56,7 @@
         }
         Action::Probe { executor } => {
             open(out, "sample", instance);
-            text(out, ",\"executor\":", &names[executor.0 as usize]);
+            text(out, ",\"executor\":", numbers.name(*executor));
         }
         Action::Wake { at } => {
             open(out, "after", instance);
--- a/crates/wirehost/src/host.rs
+++ b/crates/wirehost/src/host.rs
@@ -1,8 +1,9 @@
 //! Routes events to instances and gathers their actions. Instances share nothing but the sheets of the wire.
 use crate::decode::{self, EntryPhase, PeersKind, StateCode};
-use crate::{encode, naming};
-use std::collections::{BTreeMap, HashMap};
+use crate::encode;
+use std::collections::BTreeMap;
 use troutknot::*;
+use troutknot_hosting::{LoadFields, Numbers, millis, named_values, token};
 
 #[derive(Default)]
 pub struct Host {
@@ -17,57 +18,11 @@
 
 struct Instance {
     node: Dispatcher,
-    names: Vec<Box<str>>,
-    numbers: HashMap<Box<str>, u32>,
-    load_fields: Vec<LoadField>,
+    numbers: Numbers,
+    load_fields: LoadFields,
     called: bool,
 }
 
-#[derive(Clone, Copy)]
-enum LoadField {
-    Queue,
-    Held,
-    FreeSlots,
-    FreeMemory,
-    Unused,
-}
-
-impl Instance {
-    /// The number of an executor; a name not met before gets the next one.
-    fn executor(&mut self, name: &str) -> ExecutorId {
-        if let Some(&number) = self.numbers.get(name) {
-            return ExecutorId(number);
-        }
-        let number = self.names.len() as u32;
-        self.names.push(name.into());
-        self.numbers.insert(name.into(), number);
-        ExecutorId(number)
-    }
-
-    fn reading(&self, metrics: Option<Vec<Option<f64>>>) -> Reading {
-        let mut reading = Reading::default();
-        for (field, value) in self.load_fields.iter().zip(metrics.unwrap_or_default()) {
-            match field {
-                LoadField::Queue => reading.queue = value,
-                LoadField::Held => reading.held = value,
-                LoadField::FreeSlots => reading.free_slots = value,
-                LoadField::FreeMemory => reading.free_memory = value,
-                LoadField::Unused => {}
-            }
-        }
-        reading
-    }
-}
-
-/// FNV-1a of a name, so that every node has the same number for it.
-fn token(name: &str) -> u64 {
-    name.bytes().fold(0xcbf29ce484222325, |hash, byte| (hash ^ byte as u64).wrapping_mul(0x100000001b3))
-}
-
-fn millis(micros: u64) -> Millis {
-    micros as f64 / 1000.0
-}
-
 fn outcome(code: StateCode) -> Outcome {
     match code {
         StateCode::Good => Outcome::Completed,
@@ -133,10 +88,10 @@
             "ping_result" => {
                 let p: decode::PingResult = decode::parse(line)?;
                 self.tell(p.i, now, |instance| Event::Probed {
-                    executor: instance.executor(&p.executor),
+                    executor: instance.numbers.of(&p.executor),
                     answered: p.state_code == StateCode::Good,
                     lag: millis(p.lag),
-                    reading: instance.reading(p.metrics),
+                    reading: instance.load_fields.reading(&p.metrics.unwrap_or_default()),
                 });
             }
             "returned" => {
@@ -182,20 +137,10 @@
     }
 
     fn create(&mut self, now: Millis, create: decode::Create) -> Result<(), String> {
-        let fields = create.profile_data.get("load_info").and_then(|info| info.get("fields"));
-        let load_fields = fields.and_then(|f| f.as_array()).map(Vec::as_slice).unwrap_or_default();
-        let load_fields = load_fields.iter().map(|field| match field.as_str() {
-            Some("depth") => LoadField::Queue,
-            Some("concurrent") => LoadField::Held,
-            Some("x0") => LoadField::FreeSlots,
-            Some("x1") => LoadField::FreeMemory,
-            _ => LoadField::Unused,
-        });
         let instance = Instance {
-            load_fields: load_fields.collect(),
-            node: Dispatcher::new(naming::named_values(&create.profile_data)?, create.nonce64, now),
-            names: Vec::new(),
-            numbers: HashMap::new(),
+            load_fields: LoadFields::stated(&create.profile_data),
+            node: Dispatcher::new(named_values(&create.profile_data)?, create.nonce64, now),
+            numbers: Numbers::default(),
             called: true,
         };
         self.instances.insert(create.i, instance);
@@ -218,7 +163,7 @@
         let sheet = self.sheets.get(&number).ok_or_else(|| format!("sheet {number} was never declared"))?;
         let Some(instance) = self.instances.get_mut(&told.i) else { return Ok(()) };
         let listing = |entry: &decode::Entry| Listing {
-            executor: instance.executor(&entry.executor),
+            executor: instance.numbers.of(&entry.executor),
             token: token(&entry.executor),
             place: PlaceId(entry.dc.unwrap_or(0)),
             kind: MachineKindId(entry.hw.unwrap_or(0)),
@@ -253,7 +198,7 @@
             instance.called = false;
             instance.node.emit(now, &mut self.actions);
             for action in self.actions.drain(..) {
-                encode::action(reply, i, &instance.names, &action);
+                encode::action(reply, i, &instance.numbers, &action);
             }
         }
         reply.extend_from_slice(b"{\"op\":\"done\"}\n");
--- a/crates/wirehost/src/main.rs
+++ b/crates/wirehost/src/main.rs
@@ -3,7 +3,6 @@
 mod decode;
 mod encode;
 mod host;
-mod naming;
 
 use std::io::{BufRead, Write};
 use std::process::ExitCode;
