--- /dev/null
+++ b/crates/daemon/src/driver.rs
@@ -0,0 +1,250 @@
+//! Owns the dispatcher: tells it what the sides saw, and hands each of its actions to the side that acts.
+use crate::clients::Stage;
+use crate::clock::Clock;
+use crate::exchange::{Answer, Exchange};
+use crate::executors::{Executors, Push};
+use crate::words::{Entry, Vocabulary};
+use std::collections::{HashMap, HashSet};
+use std::rc::Rc;
+use tokio::sync::{Notify, mpsc, oneshot, watch};
+use tokio::time::{Instant, sleep_until};
+use troutknot::*;
+use troutknot_hosting::Numbers;
+
+/// So many events at most are told before the actions that follow from them are taken.
+const MOST_AT_ONCE: usize = 64;
+
+/// What the sides tell the driver.
+pub enum Event {
+    Arrived(Rc<Exchange>),
+    Left(WuId),
+    Started {
+        wu: WuId,
+        alloc: AllocId,
+    },
+    Progress {
+        wu: WuId,
+        alloc: AllocId,
+        share: f64,
+    },
+    Ended {
+        wu: WuId,
+        alloc: AllocId,
+        outcome: Outcome,
+    },
+    /// No reading says that there was no answer.
+    Probed {
+        executor: ExecutorId,
+        lag: Millis,
+        reading: Option<Reading>,
+    },
+    List(ListKind, Vec<Entry>),
+    ListLost,
+    /// The node ends soon: what is out is cut, and nothing more is sent.
+    OutOfTime,
+    /// The node ends now: what is open gets its last answer.
+    End,
+}
+
+struct Open {
+    exchange: Rc<Exchange>,
+    allocs: u32,
+    /// Stops the allocation that is out.
+    stop: Option<oneshot::Sender<Outcome>>,
+}
+
+pub struct Driver {
+    pub dispatcher: Dispatcher,
+    pub clock: Clock,
+    pub words: Rc<Vocabulary>,
+    pub executors: Rc<Executors>,
+    pub follow: Rc<Notify>,
+    pub numbers: Numbers,
+    pub events: mpsc::Receiver<Event>,
+    pub stage: Rc<watch::Sender<Stage>>,
+    open: HashMap<WuId, Open>,
+    /// Who is listed, to see who is missing from a whole list.
+    listed: HashSet<ExecutorId>,
+    wake: Option<Instant>,
+    out_of_time: bool,
+}
+
+impl Driver {
+    pub fn new(
+        dispatcher: Dispatcher,
+        words: Rc<Vocabulary>,
+        executors: Rc<Executors>,
+        follow: Rc<Notify>,
+        events: mpsc::Receiver<Event>,
+        stage: watch::Sender<Stage>,
+    ) -> Self {
+        Driver {
+            dispatcher,
+            clock: executors.clock,
+            words,
+            executors,
+            follow,
+            numbers: Numbers::default(),
+            events,
+            stage: Rc::new(stage),
+            open: HashMap::new(),
+            listed: HashSet::new(),
+            wake: None,
+            out_of_time: false,
+        }
+    }
+
+    pub async fn run(mut self) {
+        let mut actions = Vec::new();
+        loop {
+            let wake = self.wake;
+            let first = tokio::select! {
+                biased;
+                event = self.events.recv() => event,
+                () = async { sleep_until(wake.unwrap_or_else(Instant::now)).await }, if wake.is_some() => {
+                    self.wake = None;
+                    self.dispatcher.tell(self.clock.now(), troutknot::Event::TimerFired);
+                    None
+                }
+            };
+            let now = self.clock.now();
+            if let Some(event) = first {
+                self.tell(now, event);
+            }
+            for _ in 1..MOST_AT_ONCE {
+                let Ok(event) = self.events.try_recv() else { break };
+                self.tell(now, event);
+            }
+            self.dispatcher.emit(now, &mut actions);
+            for action in actions.drain(..) {
+                self.act(action);
+            }
+        }
+    }
+
+    pub fn tell(&mut self, now: Millis, event: Event) {
+        use troutknot::Event as Told;
+        let told = match event {
+            Event::Arrived(exchange) => {
+                if exchange.is_over() {
+                    return;
+                }
+                let work = &exchange.work;
+                let left = exchange.limit.saturating_duration_since(Instant::now()).as_secs_f64() * 1000.0;
+                let told = Told::Arrived {
+                    wu: exchange.wu,
+                    project_type: work.project_type,
+                    customer: work.customer,
+                    slots: work.slots,
+                    memory: work.memory,
+                    left,
+                    again: work.again,
+                };
+                self.open.insert(exchange.wu, Open { exchange, allocs: 0, stop: None });
+                told
+            }
+            Event::Left(wu) => {
+                self.open.remove(&wu);
+                Told::Withdrawn { wu }
+            }
+            Event::Started { wu, alloc } => Told::Started { wu, alloc },
+            Event::Progress { wu, alloc, share } => Told::Progress { wu, alloc, share },
+            Event::Ended { wu, alloc, outcome } => {
+                let over = self.open.get(&wu).is_none_or(|open| open.exchange.is_over());
+                if over {
+                    self.open.remove(&wu);
+                }
+                Told::Ended { wu, alloc, outcome, closed: over }
+            }
+            Event::Probed { executor, lag, reading } => {
+                let answered = reading.is_some();
+                Told::Probed { executor, answered, lag, reading: reading.unwrap_or_default() }
+            }
+            Event::List(kind, entries) => self.list(kind, entries),
+            Event::ListLost => Told::ListLost,
+            Event::OutOfTime => {
+                self.out_of_time = true;
+                let stops = self.open.values_mut().filter_map(|open| open.stop.take());
+                stops.for_each(|stop| _ = stop.send(Outcome::TimedOut));
+                return;
+            }
+            Event::End => {
+                for (wu, open) in self.open.drain() {
+                    open.exchange.answer(Answer::Aborted);
+                    self.dispatcher.tell(now, Told::Withdrawn { wu });
+                }
+                return;
+            }
+        };
+        self.dispatcher.tell(now, told);
+    }
+
+    fn list(&mut self, kind: ListKind, entries: Vec<Entry>) -> troutknot::Event {
+        let mut told = Vec::with_capacity(entries.len());
+        let mut missing = if kind == ListKind::Changes { HashSet::new() } else { self.listed.clone() };
+        for entry in &entries {
+            let executor = self.numbers.of(&entry.id);
+            let mut listing = self.words.listing(entry, executor);
+            let addr = entry.addr.parse().ok();
+            if addr.is_none() && listing.phase == Phase::Healthy {
+                tracing::warn!("executor {} has no usable address: `{}`", entry.id, entry.addr);
+                listing.phase = Phase::Draining;
+            }
+            self.executors.listed(executor, addr, listing.started, listing.phase == Phase::Healthy);
+            missing.remove(&executor);
+            self.listed.insert(executor);
+            told.push(listing);
+        }
+        for executor in missing {
+            self.executors.shut(executor);
+        }
+        if kind != ListKind::Saved && *self.stage.borrow() == Stage::Starting {
+            self.stage.send_replace(Stage::Serving);
+        }
+        troutknot::Event::ListTold { kind, entries: told }
+    }
+
+    fn act(&mut self, action: Action) {
+        match action {
+            Action::Push { wu, executor, cut_at } => {
+                let Some(open) = self.open.get_mut(&wu) else { return };
+                let alloc = AllocId(open.allocs);
+                open.allocs += 1;
+                let (stop, stopped) = oneshot::channel();
+                if self.out_of_time {
+                    let _ = stop.send(Outcome::TimedOut);
+                } else {
+                    open.stop = Some(stop);
+                }
+                let cut = self.clock.when(cut_at).min(open.exchange.limit);
+                let push = Push { exchange: open.exchange.clone(), executor, alloc, cut };
+                tokio::task::spawn_local(self.executors.clone().allocate(push, stopped));
+            }
+            Action::Cancel { wu, alloc } => {
+                if let Some(open) = self.open.get_mut(&wu)
+                    && alloc.0 + 1 == open.allocs
+                    && let Some(stop) = open.stop.take()
+                {
+                    let _ = stop.send(Outcome::Cancelled);
+                }
+            }
+            Action::Defer { wu, come_back } => self.finish(wu, Answer::Deferred(come_back)),
+            Action::Abort { wu } => self.finish(wu, Answer::Aborted),
+            Action::Probe { executor } => {
+                tokio::task::spawn_local(self.executors.clone().probe(executor));
+            }
+            Action::Wake { at } => {
+                let at = self.clock.when(at);
+                self.wake = Some(self.wake.map_or(at, |wake| wake.min(at)));
+            }
+            Action::FollowList => self.follow.notify_one(),
+            Action::Log(line) => tracing::info!("{line}"),
+        }
+    }
+
+    fn finish(&mut self, wu: WuId, answer: Answer) {
+        if let Some(open) = self.open.remove(&wu) {
+            open.exchange.answer(answer);
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/executors.rs
@@ -0,0 +1,364 @@
+//! The executor side: pooled connections, allocations and probes. It carries out what the driver says and
+//! tells it what came of it; what it may give a client goes into the exchange.
+use crate::clock::Clock;
+use crate::driver::Event;
+use crate::exchange::{Answer, Exchange};
+use crate::http1::{AnswerHead, Connection, Failed};
+use crate::limits::Limits;
+use crate::words::{self, Told, Vocabulary};
+use bytes::BytesMut;
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::ops::{Deref, DerefMut};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::sync::{Notify, mpsc, oneshot};
+use tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at};
+use troutknot::{AllocId, ExecutorId, Outcome, Reading};
+
+pub struct Executors {
+    pub limits: Rc<Limits>,
+    pub words: Rc<Vocabulary>,
+    pub events: mpsc::Sender<Event>,
+    pub clock: Clock,
+    hosts: RefCell<Vec<Rc<Host>>>,
+    open: Rc<Cell<usize>>,
+}
+
+/// One executor as the list last told it.
+struct Host {
+    addr: Cell<Option<SocketAddr>>,
+    started: Cell<Option<f64>>,
+    /// Counts its starts and moves; connections of an earlier one are not used again.
+    life: Cell<u64>,
+    idle: RefCell<Vec<Idle>>,
+    /// From when on nothing may be sent to it.
+    shut: Cell<Option<Instant>>,
+    shut_set: Notify,
+}
+
+struct Idle {
+    connection: Counted,
+    since: Instant,
+}
+
+/// A connection, or one that is being made, that counts against the limit until it is dropped.
+struct Counted {
+    connection: Option<Connection>,
+    life: u64,
+    open: Rc<Cell<usize>>,
+}
+
+impl Drop for Counted {
+    fn drop(&mut self) {
+        self.open.set(self.open.get() - 1);
+    }
+}
+
+impl Deref for Counted {
+    type Target = Connection;
+    fn deref(&self) -> &Connection {
+        self.connection.as_ref().expect("it is connected before it is handed out")
+    }
+}
+
+impl DerefMut for Counted {
+    fn deref_mut(&mut self) -> &mut Connection {
+        self.connection.as_mut().expect("it is connected before it is handed out")
+    }
+}
+
+/// One push to carry out.
+pub struct Push {
+    pub exchange: Rc<Exchange>,
+    pub executor: ExecutorId,
+    pub alloc: AllocId,
+    pub cut: Instant,
+}
+
+impl Host {
+    /// Ends when nothing may be sent any more.
+    async fn shut(&self) {
+        loop {
+            match self.shut.get() {
+                Some(at) => return sleep_until(at).await,
+                None => self.shut_set.notified().await,
+            }
+        }
+    }
+
+    fn is_shut(&self) -> bool {
+        self.shut.get().is_some_and(|at| Instant::now() >= at)
+    }
+
+    /// The idle connection that was used last and may still be used.
+    fn take_idle(&self, retire_after: Duration) -> Option<Counted> {
+        let mut idle = self.idle.borrow_mut();
+        while let Some(Idle { connection, since }) = idle.pop() {
+            if since.elapsed() < retire_after && connection.quiet() {
+                return Some(connection);
+            }
+        }
+        None
+    }
+}
+
+impl Executors {
+    pub fn new(
+        limits: Rc<Limits>,
+        words: Rc<Vocabulary>,
+        events: mpsc::Sender<Event>,
+        clock: Clock,
+    ) -> Rc<Self> {
+        Rc::new(Executors {
+            limits,
+            words,
+            events,
+            clock,
+            hosts: RefCell::default(),
+            open: Rc::new(Cell::new(0)),
+        })
+    }
+
+    /// What the list says of one executor. One that is not healthy is sent nothing after the wait.
+    pub fn listed(
+        &self,
+        executor: ExecutorId,
+        addr: Option<SocketAddr>,
+        started: Option<f64>,
+        healthy: bool,
+    ) {
+        let host = self.host(executor);
+        if (addr.is_some() && addr != host.addr.get()) || started != host.started.get() {
+            host.addr.set(addr.or(host.addr.get()));
+            host.started.set(started);
+            host.life.set(host.life.get() + 1);
+            host.idle.borrow_mut().clear();
+        }
+        if healthy {
+            host.shut.set(None);
+        } else {
+            self.shut(executor);
+        }
+    }
+
+    pub fn shut(&self, executor: ExecutorId) {
+        let host = self.host(executor);
+        if host.shut.get().is_none() {
+            host.shut.set(Some(Instant::now() + self.limits.drain_wait));
+            host.shut_set.notify_waiters();
+        }
+    }
+
+    fn host(&self, executor: ExecutorId) -> Rc<Host> {
+        let mut hosts = self.hosts.borrow_mut();
+        while hosts.len() <= executor.0 as usize {
+            hosts.push(Rc::new(Host {
+                addr: Cell::new(None),
+                started: Cell::new(None),
+                life: Cell::new(0),
+                idle: RefCell::default(),
+                shut: Cell::new(None),
+                shut_set: Notify::new(),
+            }));
+        }
+        hosts[executor.0 as usize].clone()
+    }
+
+    /// An idle connection, else a new one. Not sent says that the node has none to spare.
+    async fn connect(&self, host: &Host, most: usize) -> Result<Counted, Outcome> {
+        if let Some(connection) = host.take_idle(self.limits.retire_after) {
+            return Ok(connection);
+        }
+        if self.open.get() >= most && !self.close_longest_idle() {
+            return Err(Outcome::NotSent);
+        }
+        let addr = host.addr.get().ok_or(Outcome::NoConnection)?;
+        self.open.set(self.open.get() + 1);
+        let mut made = Counted { connection: None, life: host.life.get(), open: self.open.clone() };
+        match timeout(self.limits.connect_wait, TcpStream::connect(addr)).await {
+            Ok(Ok(stream)) => {
+                made.connection = Some(Connection::new(stream, self.limits.ring));
+                Ok(made)
+            }
+            _ => Err(Outcome::NoConnection),
+        }
+    }
+
+    /// Makes room among all executors; false where every connection is in use.
+    fn close_longest_idle(&self) -> bool {
+        let hosts = self.hosts.borrow();
+        let since = |host: &Rc<Host>| host.idle.borrow().first().map(|idle| idle.since);
+        let longest = hosts.iter().filter(|host| since(host).is_some()).min_by_key(|host| since(host));
+        longest.map(|host| host.idle.borrow_mut().remove(0)).is_some()
+    }
+
+    /// Takes a connection back whose last message is whole.
+    fn put_back(&self, host: &Host, mut connection: Counted) {
+        if connection.life == host.life.get() && !host.is_shut() {
+            connection.rest();
+            host.idle.borrow_mut().push(Idle { connection, since: Instant::now() });
+        }
+    }
+
+    /// Guards against connections that stand idle until the executor closes them under a request.
+    pub async fn retire_idle(self: Rc<Self>) {
+        loop {
+            sleep(self.limits.retire_after / 8).await;
+            for host in self.hosts.borrow().iter() {
+                let keeps = |idle: &Idle| {
+                    idle.since.elapsed() < self.limits.retire_after
+                        && idle.connection.quiet()
+                        && !host.is_shut()
+                };
+                host.idle.borrow_mut().retain(keeps);
+            }
+        }
+    }
+
+    /// Carries out a push and tells the driver its one outcome.
+    pub async fn allocate(self: Rc<Self>, push: Push, mut stop: oneshot::Receiver<Outcome>) {
+        let host = self.host(push.executor);
+        let (outcome, rest) = self.run(&host, &push, &mut stop).await;
+        let (wu, alloc) = (push.exchange.wu, push.alloc);
+        let _ = self.events.send(Event::Ended { wu, alloc, outcome }).await;
+        if let Some((mut connection, mut head)) = rest {
+            let (mut scrap, most) = (BytesMut::new(), self.limits.body);
+            let end = connection.body(&mut head.body, &mut scrap, most, false);
+            if head.keep && matches!(timeout(self.limits.tail_wait, end).await, Ok(Ok(true))) {
+                self.put_back(&host, connection);
+            }
+        }
+    }
+
+    /// The outcome, and the connection where its answer may still be read to the end.
+    async fn run(
+        &self,
+        host: &Host,
+        push: &Push,
+        stop: &mut oneshot::Receiver<Outcome>,
+    ) -> (Outcome, Option<(Counted, AnswerHead)>) {
+        let exchange = &push.exchange;
+        let most = self.limits.executors - self.limits.executors / 16;
+        // Guards against a send that was decided long before: while it connects, the grace of its executor
+        // may end, its cut may come, its work unit may be over.
+        let connection = tokio::select! {
+            biased;
+            Ok(_) = &mut *stop => Err(Outcome::NotSent),
+            () = exchange.over() => Err(Outcome::NotSent),
+            () = host.shut() => Err(Outcome::NotSent),
+            () = sleep_until(push.cut) => Err(Outcome::NoConnection),
+            connection = self.connect(host, most) => connection,
+        };
+        let mut connection = match connection {
+            Ok(connection) => connection,
+            Err(outcome) => return (outcome, None),
+        };
+        let now = Instant::now();
+        if exchange.is_over() || host.is_shut() || now >= push.cut {
+            self.put_back(host, connection);
+            return (Outcome::NotSent, None);
+        }
+        let addr = host.addr.get().expect("it was connected to");
+        let head = self.words.allocation(&exchange.work, addr, push.cut - now);
+        let parts: [&[u8]; 2] = [&head, &exchange.work.body];
+        let written = tokio::select! {
+            biased;
+            written = connection.write(&parts) => written.is_ok(),
+            Ok(_) = &mut *stop => false,
+            () = sleep_until(push.cut) => false,
+        };
+        if !written {
+            // The last byte was not written, so it never runs.
+            return (Outcome::NoConnection, None);
+        }
+        let read = tokio::select! {
+            biased;
+            read = self.read(&mut connection, push) => read,
+            Ok(why) = &mut *stop => Ok((why, None)),
+            () = sleep_until(push.cut) => Ok((Outcome::TimedOut, None)),
+        };
+        match read {
+            Ok((outcome, head)) => (outcome, head.map(|head| (connection, head))),
+            Err(why) => {
+                if let Failed::Bad(_) = why {
+                    tracing::warn!("executor at {addr} talks garbage, its connection is closed: {why}");
+                }
+                (Outcome::Reset, None)
+            }
+        }
+    }
+
+    /// Reads an answer up to its outcome.
+    async fn read(
+        &self,
+        connection: &mut Connection,
+        push: &Push,
+    ) -> Result<(Outcome, Option<AnswerHead>), Failed> {
+        let (exchange, wu, alloc) = (&push.exchange, push.exchange.wu, push.alloc);
+        let mut head = connection.answer_head().await?;
+        if let Some(outcome) = words::taken(&head) {
+            return Ok((outcome, Some(head)));
+        }
+        let mut buffer = BytesMut::new();
+        // A result is at most a body, but JSON may write it longer.
+        let most = 2 * self.limits.body;
+        loop {
+            let ended = connection.body(&mut head.body, &mut buffer, most, true).await?;
+            while let Some(at) = buffer.iter().position(|&b| b == b'\n') {
+                let line = buffer.split_to(at + 1);
+                if line.trim_ascii().is_empty() {
+                    continue;
+                }
+                let told = words::line(&line, &exchange.work.id).map_err(|why| {
+                    tracing::warn!("executor line not understood: {why}");
+                    Failed::Ended
+                })?;
+                match told {
+                    Told::Started => {
+                        let _ = self.events.try_send(Event::Started { wu, alloc });
+                    }
+                    Told::Progress(share) => {
+                        let _ = self.events.try_send(Event::Progress { wu, alloc, share });
+                    }
+                    Told::Result(result) => {
+                        exchange.answer(Answer::Completed(result));
+                        return Ok((Outcome::Completed, Some(head)));
+                    }
+                    Told::Ended(outcome) => return Ok((outcome, Some(head))),
+                }
+            }
+            if ended {
+                return Err(Failed::Ended);
+            }
+        }
+    }
+
+    /// Probes an executor and tells the driver what came of it.
+    pub async fn probe(self: Rc<Self>, executor: ExecutorId) {
+        let (host, start) = (self.host(executor), Instant::now());
+        let answer = timeout_at(start + self.limits.probe_wait, self.ask(&host)).await;
+        if answer.is_err() {
+            // Guards against connections to a machine that is cut off: they stay open and silent.
+            host.idle.borrow_mut().clear();
+        }
+        let reading = answer.ok().flatten();
+        let lag = start.elapsed().as_secs_f64() * 1000.0;
+        let _ = self.events.send(Event::Probed { executor, lag, reading }).await;
+    }
+
+    async fn ask(&self, host: &Host) -> Option<Reading> {
+        let mut connection = self.connect(host, self.limits.executors).await.ok()?;
+        let ask = self.words.probe(host.addr.get()?);
+        connection.write(&[ask.as_bytes()]).await.ok()?;
+        let mut head = connection.answer_head().await.ok()?;
+        let mut body = BytesMut::new();
+        connection.body(&mut head.body, &mut body, self.limits.ring, false).await.ok()?;
+        let reading = (head.status == 200).then(|| self.words.reading(&head, &body));
+        if head.keep {
+            self.put_back(host, connection);
+        }
+        reading
+    }
+}
--- a/crates/daemon/src/limits.rs
+++ b/crates/daemon/src/limits.rs
@@ -43,6 +43,8 @@
     pub last_answer_margin: Duration,
     /// The list is taken for broken off when it says nothing for so long.
     pub list_silence: Duration,
+    /// The node serves by the list it held before when no newer one has come by then.
+    pub ready_wait: Duration,
     /// After the signal to end: until then all goes on as before, then idle connections close; what is out
     /// is cut; what is still open is answered.
     pub linger: Duration,
@@ -85,6 +87,7 @@
             answer_margin: Duration::from_millis(25),
             last_answer_margin: Duration::from_millis(8),
             list_silence: Duration::from_millis(2600),
+            ready_wait: Duration::from_secs(1),
             linger: Duration::from_millis(650),
             cut_after: Duration::from_millis(2800),
             end_after: Duration::from_millis(3400),
--- /dev/null
+++ b/crates/daemon/src/list.rs
@@ -0,0 +1,131 @@
+//! Follows the list of executors: one watch at a time, opened when the dispatcher asks for it.
+use crate::driver::Event;
+use crate::http1::{Connection, Failed};
+use crate::limits::Limits;
+use crate::words::{List, Vocabulary};
+use bytes::BytesMut;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use tokio::net::TcpStream;
+use tokio::sync::{Notify, mpsc};
+use tokio::time::timeout;
+use troutknot::ListKind;
+
+/// So many watches in a row must show an older list before it is taken for a new count of versions.
+const OLD_LISTS: u32 = 3;
+
+pub struct Follower {
+    pub discovery: SocketAddr,
+    pub limits: Rc<Limits>,
+    pub words: Rc<Vocabulary>,
+    pub events: mpsc::Sender<Event>,
+    /// Asks for a watch.
+    pub ask: Rc<Notify>,
+    /// The version that is known.
+    pub version: Option<u64>,
+}
+
+/// Which of the versions that come are news.
+#[derive(Default)]
+struct Versions {
+    known: Option<u64>,
+    old: u32,
+}
+
+impl Versions {
+    /// Guards against lists that repeat or are old: none of them may bring back an executor that drains. An
+    /// older whole list that opens watch after watch is a new count of versions.
+    fn take(&mut self, list: &List, first: bool) -> Option<ListKind> {
+        let newer = self.known.is_none_or(|known| list.version > known);
+        let same = first && list.full && self.known == Some(list.version);
+        if !newer && !same {
+            let older = first && list.full;
+            self.old += u32::from(older);
+            if !older || self.old < OLD_LISTS {
+                return None;
+            }
+        }
+        (self.known, self.old) = (Some(list.version), 0);
+        Some(if list.full { ListKind::Whole } else { ListKind::Changes })
+    }
+}
+
+impl Follower {
+    pub async fn run(mut self) {
+        let mut versions = Versions { known: self.version, old: 0 };
+        loop {
+            self.ask.notified().await;
+            let why = match self.watch(&mut versions).await {
+                Ok(()) => "it was ended".to_string(),
+                Err(why) => why,
+            };
+            tracing::warn!("watch of the list broke off: {why}");
+            if self.events.send(Event::ListLost).await.is_err() {
+                return;
+            }
+        }
+    }
+
+    async fn watch(&mut self, versions: &mut Versions) -> Result<(), String> {
+        let silence = self.limits.list_silence;
+        let silent = |_| "silent for too long".to_string();
+        let stream = timeout(self.limits.connect_wait, TcpStream::connect(self.discovery)).await;
+        let stream = stream.map_err(silent)?.map_err(|e| e.to_string())?;
+        let mut connection = Connection::new(stream, self.limits.ring);
+        let ask = self.words.watch(self.discovery, versions.known);
+        connection.write(&[ask.as_bytes()]).await.map_err(|e| e.to_string())?;
+        let said = |e: Failed| e.to_string();
+        let mut head = timeout(silence, connection.answer_head()).await.map_err(silent)?.map_err(said)?;
+        if head.status != 200 {
+            return Err(format!("status {}", head.status));
+        }
+        // The watch stands, even if there is no news.
+        let up = self.events.send(Event::List(ListKind::Changes, Vec::new()));
+        up.await.map_err(|_| "the node ends".to_string())?;
+        let (mut buffer, most, mut first) = (BytesMut::new(), self.limits.list_line, true);
+        loop {
+            let more = connection.body(&mut head.body, &mut buffer, most, true);
+            let ended = timeout(silence, more).await.map_err(silent)?.map_err(said)?;
+            while let Some(at) = buffer.iter().position(|&b| b == b'\n') {
+                let line = buffer.split_to(at + 1);
+                if line.trim_ascii().is_empty() {
+                    continue;
+                }
+                let list: List = serde_json::from_slice(&line).map_err(|e| format!("garbage: {e}"))?;
+                let kind = versions.take(&list, first);
+                first = false;
+                match kind {
+                    Some(kind) => {
+                        let told = Event::List(kind, list.entries);
+                        self.events.send(told).await.map_err(|_| "the node ends".to_string())?;
+                    }
+                    None => tracing::info!("list version {} is not new, passed over", list.version),
+                }
+            }
+            if ended {
+                return Ok(());
+            }
+        }
+    }
+}
+
+#[test]
+fn lists_that_repeat_or_are_old_are_passed_over() {
+    use ListKind::{Changes, Whole};
+    let mut versions = Versions { known: Some(10), old: 0 };
+    for (version, full, first, expected) in [
+        (10, true, true, Some(Whole)),
+        (9, true, false, None),
+        (10, false, false, None),
+        (11, false, false, Some(Changes)),
+        (11, true, false, None),
+        (4, false, true, None),
+        (4, true, true, None),
+        (4, true, true, None),
+        (4, true, true, Some(Whole)),
+        (5, false, false, Some(Changes)),
+    ] {
+        let list = List { version, full, entries: Vec::new() };
+        assert_eq!(versions.take(&list, first), expected, "{version} {full} {first}");
+    }
+}
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -1,1 +1,176 @@
-fn main(){}
+//! `troutknotd`: one real node. Here it starts and stops; the parts are one file each.
+mod clients;
+mod clock;
+mod driver;
+mod exchange;
+mod executors;
+mod http1;
+mod limits;
+mod list;
+mod ring;
+mod words;
+
+use clients::{Clients, Stage};
+use clock::Clock;
+use driver::{Driver, Event};
+use executors::Executors;
+use limits::{Limits, Stated};
+use serde::Deserialize;
+use std::net::SocketAddr;
+use std::process::ExitCode;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::{Notify, mpsc, watch};
+use tokio::task::{LocalSet, spawn_local};
+use tokio::time::sleep;
+use troutknot::{Dispatcher, ListKind};
+use troutknot_hosting::named_values;
+
+/// What a node is told at its start.
+#[derive(Deserialize)]
+struct Told {
+    name: String,
+    listen: SocketAddr,
+    discovery: SocketAddr,
+    seed: String,
+    limits: ToldLimits,
+    known: Option<words::List>,
+    settings: serde_json::Map<String, serde_json::Value>,
+}
+
+#[derive(Deserialize)]
+struct ToldLimits {
+    memory_mb: u64,
+    sockets: u64,
+}
+
+fn main() -> ExitCode {
+    let level = match std::env::var("TROUTKNOT_LOG").as_deref() {
+        Ok("debug") => tracing::Level::DEBUG,
+        _ => tracing::Level::INFO,
+    };
+    tracing_subscriber::fmt().with_max_level(level).with_ansi(false).with_target(false).init();
+    match start() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(what) => {
+            eprintln!("troutknotd: {what}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn start() -> Result<(), String> {
+    let path = std::env::var("ROUTER_CONFIG").map_err(|_| "ROUTER_CONFIG is not set")?;
+    let text = std::fs::read_to_string(&path).map_err(|e| format!("cannot read `{path}`: {e}"))?;
+    let told: Told = serde_json::from_str(&text).map_err(|e| format!("`{path}`: {e}"))?;
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.map_err(|e| format!("no runtime: {e}"))?;
+    LocalSet::new().block_on(&runtime, run(told))
+}
+
+async fn run(told: Told) -> Result<(), String> {
+    let seed = u64::from_str_radix(&told.seed, 16).map_err(|_| format!("odd seed `{}`", told.seed))?;
+    let values = named_values(&told.settings)?;
+    let words = Rc::new(words::Vocabulary::of(&told.settings, &values)?);
+    let span = |name: &str| {
+        let millis = values.number(name, -1.0);
+        (0.0..1e9).contains(&millis).then(|| Duration::from_secs_f64(millis / 1000.0))
+    };
+    let limits = Rc::new(Limits::of(&Stated {
+        memory_mb: told.limits.memory_mb,
+        sockets: told.limits.sockets,
+        connect_wait: span("limits.connect_wait"),
+        executors_idle: span("limits.idle_connection"),
+        drain_grace: span("rules.drain_grace"),
+    }));
+    let mut terminate = signal(SignalKind::terminate()).map_err(|e| format!("no signals: {e}"))?;
+    let mut interrupt = signal(SignalKind::interrupt()).map_err(|e| format!("no signals: {e}"))?;
+    let listener = TcpListener::bind(told.listen).await;
+    let listener = listener.map_err(|e| format!("cannot listen at {}: {e}", told.listen))?;
+
+    let clock = Clock::start();
+    let (events, told_events) = mpsc::channel(limits.events);
+    let (stage, staged) = watch::channel(Stage::Starting);
+    let follow = Rc::new(Notify::new());
+    let executors = Executors::new(limits.clone(), words.clone(), events.clone(), clock);
+    let clients = Clients::new(limits.clone(), words.clone(), events.clone(), staged);
+    let dispatcher = Dispatcher::new(values, seed, clock.now());
+    let mut driver =
+        Driver::new(dispatcher, words.clone(), executors.clone(), follow.clone(), told_events, stage);
+    let version = told.known.as_ref().map(|known| known.version);
+    if let Some(known) = told.known {
+        driver.tell(clock.now(), Event::List(ListKind::Saved, known.entries));
+    }
+    let follower = list::Follower {
+        discovery: told.discovery,
+        limits: limits.clone(),
+        words,
+        events: events.clone(),
+        ask: follow.clone(),
+        version,
+    };
+    // The list is followed from the start, also where nobody has to ask for it.
+    follow.notify_one();
+    spawn_local(follower.run());
+    spawn_local(executors.retire_idle());
+    spawn_local(clients.clone().accept(listener));
+    let stage = driver.stage.clone();
+    let driver = spawn_local(driver.run());
+    tracing::info!(
+        "{} listens at {}: {} clients, {} connections to executors, {} bytes held at most",
+        told.name,
+        told.listen,
+        limits.clients,
+        limits.executors,
+        limits.held_bytes
+    );
+    let unlisted = sleep(limits.ready_wait);
+    tokio::pin!(driver, unlisted);
+    loop {
+        tokio::select! {
+            _ = &mut driver => return Err("the driver has ended".into()),
+            _ = terminate.recv() => break,
+            _ = interrupt.recv() => break,
+            () = &mut unlisted, if !unlisted.is_elapsed() => {
+                if *stage.borrow() == Stage::Starting {
+                    tracing::warn!("no word from the list yet, serving by the one held before");
+                    stage.send_replace(Stage::Serving);
+                }
+            }
+        }
+    }
+    tracing::info!("asked to end, {} connections from clients", clients.connections());
+    let ending = end(&limits, &clients, &stage, &events);
+    tokio::select! {
+        _ = &mut driver => Err("the driver has ended".into()),
+        () = ending => Ok(()),
+    }
+}
+
+/// Answers what is taken and what still comes, closes what is idle, and ends when nothing is left.
+async fn end(limits: &Limits, clients: &Clients, stage: &watch::Sender<Stage>, events: &mpsc::Sender<Event>) {
+    stage.send_replace(Stage::Leaving);
+    sleep(limits.linger).await;
+    stage.send_replace(Stage::Closing);
+    let wait = async |until: Duration| {
+        let tick = Duration::from_millis(20);
+        let mut waited = Duration::ZERO;
+        while clients.connections() > 0 && waited < until {
+            sleep(tick).await;
+            waited += tick;
+        }
+    };
+    wait(limits.cut_after - limits.linger).await;
+    if clients.connections() > 0 {
+        let _ = events.send(Event::OutOfTime).await;
+        wait(limits.end_after - limits.cut_after).await;
+    }
+    let left = clients.connections();
+    if left > 0 {
+        let _ = events.send(Event::End).await;
+        wait(Duration::from_millis(200)).await;
+    }
+    tracing::info!("ended with {left} connections still open");
+}
--- /dev/null
+++ b/crates/daemon/src/words.rs
@@ -0,0 +1,288 @@
+//! The words of the protocol and what they mean to the dispatcher. They end here.
+use crate::exchange::{Answer, Work};
+use crate::http1::{self, AnswerHead, RequestHead};
+use bytes::{Bytes, BytesMut};
+use serde::Deserialize;
+use serde_json::value::RawValue;
+use serde_json::{Map, Value};
+use std::net::SocketAddr;
+use std::time::Duration;
+use troutknot::*;
+use troutknot_hosting::{named_reading, token};
+
+const ID: &str = "Request-Id";
+const TYPE: &str = "Request-Class";
+const CUSTOMER: &str = "Tenant";
+const PATIENCE: &str = "Request-Timeout";
+const AGAIN: &str = "Client-Retry";
+const FIGURES: &str = "Request-Info";
+const REPORT: &str = "Server-Load";
+const NEVER_RAN: &str = "Not-Started";
+
+pub const READY_PATH: &str = "/_health";
+const PROBE_PATH: &str = "/ping";
+const REPORT_PATH: &str = "/_load";
+const LIST_PATH: &str = "/catalog/members";
+
+/// Fields that concern one connection alone, or that this node writes itself.
+const OWN_FIELDS: &[&str] = &[
+    "connection",
+    "keep-alive",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "expect",
+    "content-length",
+    "host",
+    "request-id",
+    "request-timeout",
+];
+
+/// The names that the settings give to numbers.
+pub struct Vocabulary {
+    project_types: Vec<String>,
+    customers: Vec<String>,
+    places: Vec<String>,
+    kinds: Vec<String>,
+    /// The longest that a client waits for each project type.
+    limits: Vec<Duration>,
+    longest_come_back: Option<Millis>,
+    probe_path: &'static str,
+}
+
+fn names(list: Option<&Value>) -> Vec<String> {
+    let list = list.and_then(Value::as_array).into_iter().flatten();
+    let name = |v: &Value| v.as_str().or_else(|| v.get("name")?.as_str()).unwrap_or("").to_string();
+    list.map(name).collect()
+}
+
+fn place_of(name: &str, names: &[String]) -> Option<u32> {
+    names.iter().position(|n| n == name).map(|k| k as u32)
+}
+
+impl Vocabulary {
+    pub fn of(settings: &Map<String, Value>, values: &NamedValues) -> Result<Self, String> {
+        let project_types = names(settings.get("project_types"));
+        if project_types.is_empty() {
+            return Err("the settings name no project type".into());
+        }
+        let limit = |k: usize| values.number(&format!("project_types.{k}.hard_limit"), 0.0);
+        let limits: Vec<Millis> = (0..project_types.len()).map(limit).collect();
+        if !limits.iter().all(|l| (1.0..1e9).contains(l)) {
+            return Err("a project type has no hard limit".into());
+        }
+        let reports = settings.get("load_info").and_then(|info| info.get("fields")).and_then(Value::as_array);
+        Ok(Vocabulary {
+            project_types,
+            customers: names(settings.get("customers")),
+            places: names(settings.get("failure_domains")),
+            kinds: names(settings.get("kinds")),
+            limits: limits.into_iter().map(|l| Duration::from_secs_f64(l / 1000.0)).collect(),
+            longest_come_back: values
+                .holds("limits.longest_come_back")
+                .then(|| values.number("limits.longest_come_back", 0.0)),
+            probe_path: if reports.is_some_and(|r| !r.is_empty()) { REPORT_PATH } else { PROBE_PATH },
+        })
+    }
+
+    /// Reads a work unit out of a request's head, without its body, and how long its client will wait; or
+    /// the status that says what is wrong with it.
+    pub fn work(&self, head: &RequestHead) -> Result<(Work, Duration), (u16, &'static str)> {
+        let one = |name: &str| head.headers.one(name).map_err(|_| (400, "odd header"));
+        let path = head.target.split('?').next().unwrap_or("");
+        let first = path.strip_prefix('/').ok_or((400, "odd target"))?.split('/').next().unwrap_or("");
+        let named = place_of(first, &self.project_types).ok_or((404, "unknown path"))?;
+        if one(TYPE)?.is_some_and(|said| said != first) {
+            return Err((400, "header and path name two project types"));
+        }
+        if head.method != "POST" {
+            return Err((405, "work comes by POST"));
+        }
+        let id =
+            one(ID)?.filter(|id| (1..=64).contains(&id.len()) && id.bytes().all(|b| b.is_ascii_graphic()));
+        let id = id.ok_or((400, "no id, or an odd one"))?.to_string();
+        let customer = match one(CUSTOMER)? {
+            Some(name) => place_of(name, &self.customers).ok_or((400, "unknown customer"))?,
+            None => 0,
+        };
+        let longest = self.limits[named as usize];
+        let left = match one(PATIENCE)? {
+            Some(text) => {
+                let seconds = text.parse::<f64>().ok().filter(|s| s.is_finite() && *s > 0.0);
+                let seconds = seconds.ok_or((400, "odd time to wait"))?;
+                longest.min(Duration::from_secs_f64(seconds.min(1e6)))
+            }
+            None => longest,
+        };
+        let (mut slots, mut memory) = (1.0, 0.0);
+        for (name, value) in one(FIGURES)?.unwrap_or("").split(',').filter_map(|pair| pair.split_once('=')) {
+            let figure = value.trim().parse::<f64>().ok().filter(|v| (0.0..1e6).contains(v));
+            match name.trim() {
+                "slots" | "cores_needed" => slots = figure.ok_or((400, "odd slots"))?,
+                "memory" | "mem_needed" => memory = figure.ok_or((400, "odd memory"))?,
+                _ => {}
+            }
+        }
+        let mut fields = BytesMut::new();
+        http1::field(&mut fields, ID, &id);
+        for (name, value) in &head.headers.0 {
+            let own = OWN_FIELDS.iter().any(|own| name.eq_ignore_ascii_case(own));
+            if !own && !head.headers.lists("connection", name) {
+                http1::field(&mut fields, name, value);
+            }
+        }
+        let work = Work {
+            id,
+            method: head.method.clone(),
+            target: head.target.clone(),
+            fields: fields.freeze(),
+            body: Bytes::new(),
+            project_type: ProjectTypeId(named),
+            customer: CustomerId(customer),
+            slots,
+            memory,
+            again: one(AGAIN)? == Some("1"),
+        };
+        Ok((work, left))
+    }
+
+    /// Status, fields and body that tell a client its final answer.
+    pub fn answer(&self, answer: &Answer) -> (u16, Vec<(&'static str, String)>, Bytes) {
+        match answer {
+            Answer::Completed(result) => (200, Vec::new(), result.clone()),
+            Answer::Deferred(wait) => (503, self.come_back(*wait), Bytes::new()),
+            Answer::Aborted => (502, Vec::new(), Bytes::new()),
+        }
+    }
+
+    fn come_back(&self, wait: Option<Millis>) -> Vec<(&'static str, String)> {
+        let longest = self.longest_come_back.unwrap_or(f64::INFINITY);
+        let told = |w: Millis| ("Retry-After", format!("{:.3}", w.min(longest).max(0.0) / 1000.0));
+        wait.map(told).into_iter().collect()
+    }
+
+    /// The head that hands a work unit to an executor, which hears how long this node will wait.
+    pub fn allocation(&self, work: &Work, to: SocketAddr, wait: Duration) -> BytesMut {
+        let mut out = BytesMut::with_capacity(256 + work.fields.len());
+        out.extend_from_slice(format!("{} {} HTTP/1.1\r\n", work.method, work.target).as_bytes());
+        http1::field(&mut out, "Host", to.to_string());
+        out.extend_from_slice(&work.fields);
+        http1::field(&mut out, PATIENCE, format!("{:.3}", wait.as_secs_f64()));
+        http1::field(&mut out, "Content-Length", work.body.len().to_string());
+        out.extend_from_slice(b"\r\n");
+        out
+    }
+
+    pub fn probe(&self, to: SocketAddr) -> String {
+        format!("GET {} HTTP/1.1\r\nHost: {to}\r\n\r\n", self.probe_path)
+    }
+
+    /// What an answered probe says of load; it stands in the body, or in a field.
+    pub fn reading(&self, head: &AnswerHead, body: &[u8]) -> Reading {
+        let field = head.headers.one(REPORT).ok().flatten();
+        named_reading(
+            std::str::from_utf8(body).ok().filter(|text| text.contains('=')).or(field).unwrap_or(""),
+        )
+    }
+
+    pub fn watch(&self, to: SocketAddr, after: Option<u64>) -> String {
+        let after = after.map_or(String::new(), |version| format!("&index={version}"));
+        format!("GET {LIST_PATH}?stream=1{after} HTTP/1.1\r\nHost: {to}\r\n\r\n")
+    }
+
+    /// What an executor's listing says, but for the number that this node gives it.
+    pub fn listing(&self, entry: &Entry, executor: ExecutorId) -> Listing {
+        let place = |name: &Option<String>, names| {
+            name.as_ref().map_or(0, |name| place_of(name, names).unwrap_or(u32::MAX))
+        };
+        Listing {
+            executor,
+            token: token(&entry.id),
+            place: PlaceId(place(&entry.zone, &self.places)),
+            kind: MachineKindId(place(&entry.kind, &self.kinds)),
+            group: GroupId(entry.cell.unwrap_or(0)),
+            phase: match entry.state.as_str() {
+                "Ready" => Phase::Healthy,
+                "Gone" => Phase::Gone,
+                // A word that is not known is taken for the one that stops new work.
+                _ => Phase::Draining,
+            },
+            size: entry.weight.unwrap_or(1.0),
+            started: entry.started_ms.filter(|&at| at > 0.0),
+        }
+    }
+}
+
+/// What an executor's head alone says of an allocation: its outcome, or that it was taken.
+pub fn taken(head: &AnswerHead) -> Option<Outcome> {
+    let never_ran = matches!(head.headers.one(NEVER_RAN), Ok(Some("1")));
+    match head.status {
+        200 => None,
+        503 | 504 if never_ran => Some(Outcome::Full),
+        _ => Some(Outcome::Error),
+    }
+}
+
+/// One line that an executor tells of an allocation.
+#[derive(Debug, PartialEq)]
+pub enum Told {
+    Started,
+    Progress(f64),
+    Result(Bytes),
+    Ended(Outcome),
+}
+
+/// Reads such a line; an error says why it is none, or is of another work unit.
+pub fn line(bytes: &[u8], id: &str) -> Result<Told, String> {
+    #[derive(Deserialize)]
+    struct Line<'a> {
+        id: Option<String>,
+        state: String,
+        share: Option<f64>,
+        #[serde(borrow)]
+        result: Option<&'a RawValue>,
+    }
+    let line: Line = serde_json::from_slice(bytes).map_err(|e| e.to_string())?;
+    if line.id.is_some_and(|said| said != id) {
+        return Err("the line is of another work unit".into());
+    }
+    match line.state.as_str() {
+        "started" => Ok(Told::Started),
+        "running" => Ok(Told::Progress(line.share.unwrap_or(0.0))),
+        "done" => {
+            let raw = line.result.ok_or("a result is missing")?.get();
+            let text = serde_json::from_str::<String>(raw).unwrap_or_else(|_| raw.to_string());
+            Ok(Told::Result(text.into()))
+        }
+        "failed" => Ok(Told::Ended(Outcome::Error)),
+        "returned" => Ok(Told::Ended(Outcome::Full)),
+        "lost" => Ok(Told::Ended(Outcome::Reset)),
+        other => Err(format!("unknown state `{other}`")),
+    }
+}
+
+/// A version of the list: the whole, or what changed.
+#[derive(Deserialize, Clone, Debug)]
+pub struct List {
+    pub version: u64,
+    #[serde(default)]
+    pub full: bool,
+    #[serde(rename = "servers")]
+    pub entries: Vec<Entry>,
+}
+
+#[derive(Deserialize, Clone, Debug)]
+pub struct Entry {
+    pub id: String,
+    /// Missing, perhaps, where the executor is gone.
+    #[serde(default)]
+    pub addr: String,
+    zone: Option<String>,
+    kind: Option<String>,
+    cell: Option<u32>,
+    pub state: String,
+    weight: Option<f64>,
+    started_ms: Option<f64>,
+}
--- a/crates/hosting/src/naming.rs
+++ b/crates/hosting/src/naming.rs
@@ -27,6 +27,7 @@
     ("family_info.queue_order", "executors.queue_order", Text),
     ("family_info.tells_start", "executors.tell_start", Flag),
     ("limits.cancel", "limits.cancel", Flag),
+    ("limits.conn_idle", "limits.idle_connection", Micros),
     ("limits.connect_timeout", "limits.connect_wait", Micros),
     ("limits.max_allocations", "limits.most_allocations", Number),
     ("limits.max_retry_after", "limits.longest_come_back", Micros),
