A node at its limits: idle connections make room only once settled and quiet; socket tests

Seen: with every connection taken, a newcomer's eviction closed a connection whose first request was written but not read (test a_full_node_says_so). At fault: close_longest_idle in clients.rs took any idle one, and serve() closed it unasked. Now one must have stood idle for a second, and is asked once more for bytes before it closes, also at the end of the node. Over its limit the node keeps no connection alive, so that those that wait are taken; probes keep a connection of their own.

--- a/crates/daemon/src/clients.rs
+++ b/crates/daemon/src/clients.rs
@@ -111,7 +111,9 @@
     /// Makes room for a newcomer; false where no connection is idle.
     fn close_longest_idle(&self) -> bool {
         let open = self.open.borrow();
-        let idle = open.values().filter(|s| s.idle_since.get().is_some());
+        // One that has only just come, or been answered, may have a request on its way.
+        let settled = |at: Instant| at.elapsed() >= self.limits.client_settle;
+        let idle = open.values().filter(|s| s.idle_since.get().is_some_and(settled));
         let longest = idle.min_by_key(|s| s.idle_since.get());
         longest.inspect(|s| s.idle_since.set(None)).inspect(|s| s.close.notify_one()).is_some()
     }
@@ -125,8 +127,8 @@
                 let more = tokio::select! {
                     biased;
                     more = connection.read() => matches!(more, Ok(n) if n > 0),
-                    () = standing.close.notified() => false,
-                    _ = stage.wait_for(|stage| *stage == Stage::Closing) => false,
+                    () = standing.close.notified() => !connection.quiet(),
+                    _ = stage.wait_for(|stage| *stage == Stage::Closing) => !connection.quiet(),
                     () = sleep(self.limits.client_idle) => false,
                 };
                 standing.idle_since.set(None);
@@ -220,7 +222,9 @@
             }
         };
         let Some(answer) = answer else { return false };
-        let keep = head.keep && !full && *self.stage.borrow() != Stage::Closing;
+        // Over its limit the node keeps no connection, so that those that wait are taken.
+        let room = !full && self.connections() <= self.limits.clients;
+        let keep = head.keep && room && *self.stage.borrow() != Stage::Closing;
         let (status, fields, result) = self.words.answer(&answer);
         self.write(connection, status, keep, &fields, &result).await && keep
     }
--- a/crates/daemon/src/executors.rs
+++ b/crates/daemon/src/executors.rs
@@ -240,7 +240,7 @@
         stop: &mut oneshot::Receiver<Outcome>,
     ) -> (Outcome, Option<(Counted, AnswerHead)>) {
         let exchange = &push.exchange;
-        let most = self.limits.executors - self.limits.executors / 16;
+        let most = self.limits.executors - (self.limits.executors / 16).max(1);
         // Guards against a send that was decided long before: while it connects, the grace of its executor
         // may end, its cut may come, its work unit may be over.
         let connection = tokio::select! {
--- a/crates/daemon/src/limits.rs
+++ b/crates/daemon/src/limits.rs
@@ -30,6 +30,8 @@
     /// How long a head or a body may take to come, and an answer to be taken.
     pub client_wait: Duration,
     pub client_idle: Duration,
+    /// A connection that is idle for less is not closed to make room.
+    pub client_settle: Duration,
     pub connect_wait: Duration,
     pub probe_wait: Duration,
     /// A pooled connection is not used again after it stood idle for so long.
@@ -79,6 +81,7 @@
             events: 4096,
             client_wait: Duration::from_secs(10),
             client_idle: Duration::from_secs(120),
+            client_settle: Duration::from_secs(1),
             connect_wait,
             probe_wait: connect_wait,
             retire_after: part(stated.executors_idle.unwrap_or(Duration::from_secs(5)), 0.7),
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -89,6 +89,7 @@
     let mut interrupt = signal(SignalKind::interrupt()).map_err(|e| format!("no signals: {e}"))?;
     let listener = TcpListener::bind(told.listen).await;
     let listener = listener.map_err(|e| format!("cannot listen at {}: {e}", told.listen))?;
+    let listen = listener.local_addr().map_err(|e| format!("cannot listen at {}: {e}", told.listen))?;
 
     let clock = Clock::start();
     let (events, told_events) = mpsc::channel(limits.events);
@@ -121,7 +122,7 @@
     tracing::info!(
         "{} listens at {}: {} clients, {} connections to executors, {} bytes held at most",
         told.name,
-        told.listen,
+        listen,
         limits.clients,
         limits.executors,
         limits.held_bytes
--- /dev/null
+++ b/crates/daemon/tests/node.rs
@@ -0,0 +1,516 @@
+//! One node as a process between stand-ins for clients, executors and discovery, on free loopback ports.
+use serde_json::{Value, json};
+use std::collections::{BTreeMap, VecDeque};
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::mpsc::{self, Receiver, Sender};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+const PATIENCE: Duration = Duration::from_secs(20);
+
+/// What an executor does with one allocation.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Act {
+    Done,
+    /// A result of so many bytes.
+    Large(usize),
+    Status500,
+    /// 503, and it says that it has not started.
+    TurnedAway,
+    Returned,
+    Lost,
+    Break,
+    Silent,
+    Garbage,
+    OtherId,
+    /// Done once the test says so.
+    Wait,
+}
+
+/// A message as it came: head and body.
+type Message = (String, Vec<u8>);
+
+fn message(from: &mut impl BufRead) -> Option<Message> {
+    let (mut head, mut length) = (String::new(), 0);
+    loop {
+        let mut line = String::new();
+        if from.read_line(&mut line).ok()? == 0 {
+            return None;
+        }
+        if let Some((name, value)) = line.split_once(':')
+            && name.eq_ignore_ascii_case("content-length")
+        {
+            length = value.trim().parse().unwrap();
+        }
+        if line == "\r\n" && head.starts_with("HTTP/1.1 1") {
+            head.clear();
+        } else if line == "\r\n" {
+            break;
+        } else {
+            head += &line;
+        }
+    }
+    let mut body = vec![0; length];
+    from.read_exact(&mut body).ok()?;
+    Some((head, body))
+}
+
+fn field<'a>(head: &'a str, name: &str) -> Option<&'a str> {
+    let mut lines = head.lines().filter_map(|line| line.split_once(':'));
+    lines.find(|(n, _)| n.eq_ignore_ascii_case(name)).map(|(_, value)| value.trim())
+}
+
+/// An executor: it always has room, and does one act after the other, then `Done`.
+struct Executor {
+    addr: SocketAddr,
+    acts: Arc<Mutex<VecDeque<Act>>>,
+    seen: Arc<Mutex<Vec<Message>>>,
+    go_on: Sender<()>,
+}
+
+impl Executor {
+    fn start() -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let addr = listener.local_addr().unwrap();
+        let (acts, seen) = (Arc::new(Mutex::default()), Arc::new(Mutex::default()));
+        let (go_on, wait) = mpsc::channel();
+        let wait = Arc::new(Mutex::new(wait));
+        let (own_acts, own_seen) = (acts.clone(), seen.clone());
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let (acts, seen, wait) = (own_acts.clone(), own_seen.clone(), wait.clone());
+                thread::spawn(move || serve_executor(stream, &acts, &seen, &wait));
+            }
+        });
+        Executor { addr, acts, seen, go_on }
+    }
+
+    /// Waits until so many allocations have come.
+    fn wait_for(&self, count: usize) {
+        let end = Instant::now() + PATIENCE;
+        while self.seen.lock().unwrap().len() < count {
+            assert!(Instant::now() < end, "allocations come in time");
+            thread::yield_now();
+        }
+    }
+}
+
+fn serve_executor(
+    mut stream: TcpStream,
+    acts: &Mutex<VecDeque<Act>>,
+    seen: &Mutex<Vec<Message>>,
+    wait: &Mutex<Receiver<()>>,
+) -> Option<()> {
+    let mut input = BufReader::new(stream.try_clone().unwrap());
+    loop {
+        let (head, body) = message(&mut input)?;
+        if head.starts_with("GET /_load") {
+            stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 12\r\n\r\nqueue=0,x0=8").ok()?;
+            continue;
+        }
+        let id = field(&head, "request-id").unwrap().to_string();
+        // The act is chosen before the test can see the allocation, so that it may list the next one.
+        let act = acts.lock().unwrap().pop_front().unwrap_or(Act::Done);
+        seen.lock().unwrap().push((head, body));
+        let lines = |lines: &[Value]| {
+            let mut out = String::from("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+            for line in lines {
+                out += &format!("{:x}\r\n{line}\n\r\n", line.to_string().len() + 1);
+            }
+            out + "0\r\n\r\n"
+        };
+        let (started, id) = (json!({"id": id, "state": "started"}), id.as_str());
+        let done = |id: &str, size: usize| json!({"id": id, "state": "done", "result": "r".repeat(size)});
+        let answer = match act {
+            Act::Done => lines(&[started, json!({"id": id, "state": "running", "share": 0.4}), done(id, 3)]),
+            Act::Large(size) => lines(&[done(id, size)]),
+            Act::Status500 => "HTTP/1.1 500 Broken\r\nContent-Length: 0\r\n\r\n".into(),
+            Act::TurnedAway => "HTTP/1.1 503 Full\r\nNot-Started: 1\r\nContent-Length: 0\r\n\r\n".into(),
+            Act::Returned => lines(&[json!({"id": id, "state": "returned"})]),
+            Act::Lost => lines(&[started, json!({"id": id, "state": "lost"})]),
+            Act::Break => return None,
+            Act::Silent => {
+                // Until the node gives up and closes.
+                let _ = input.read(&mut [0]);
+                return None;
+            }
+            Act::Garbage => "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n".into(),
+            Act::OtherId => lines(&[done("0000000000000000", 3)]),
+            Act::Wait => {
+                wait.lock().unwrap().recv().ok()?;
+                lines(&[done(id, 3)])
+            }
+        };
+        stream.write_all(answer.as_bytes()).ok()?;
+    }
+}
+
+/// Discovery: every watch gets the first line, then what the test sends; an empty text breaks the watch off.
+struct Discovery {
+    addr: SocketAddr,
+    lines: Sender<String>,
+    asked: Receiver<String>,
+}
+
+impl Discovery {
+    fn start(first: String) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let addr = listener.local_addr().unwrap();
+        let ((lines, to_send), (ask, asked)) = (mpsc::channel::<String>(), mpsc::channel());
+        thread::spawn(move || {
+            for mut stream in listener.incoming().flatten() {
+                let mut input = BufReader::new(stream.try_clone().unwrap());
+                let Some((head, _)) = message(&mut input) else { continue };
+                let _ = ask.send(head.lines().next().unwrap().to_string());
+                let _ = stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+                let mut line = first.clone();
+                while write!(stream, "{:x}\r\n{line}\n\r\n", line.len() + 1).is_ok() {
+                    line = match to_send.recv_timeout(Duration::from_millis(500)) {
+                        Ok(text) if text.is_empty() => break,
+                        Ok(text) => text,
+                        Err(_) => String::new(),
+                    };
+                }
+            }
+        });
+        Discovery { addr, lines, asked }
+    }
+}
+
+fn entry(name: &str, executor: &Executor, state: &str) -> Value {
+    json!({"id": name, "addr": executor.addr.to_string(), "zone": "z", "kind": "k", "cell": 0, "state": state})
+}
+
+fn list(version: u64, full: bool, entries: &[Value]) -> String {
+    json!({"version": version, "full": full, "servers": entries}).to_string()
+}
+
+fn settings() -> Value {
+    let of = |name: &str, effect: &str| {
+        json!({"name": name, "effect": effect, "key_scope": "all", "hard_limit": 30_000_000,
+            "promised_turnaround": 500_000, "credit": 1.0, "window": 1_000_000})
+    };
+    json!({"balancers": 1, "me": 0, "zone": 0, "failure_domains": ["z"], "kinds": ["k"],
+        "limits": {"max_allocations": 3, "connect_timeout": 250_000, "conn_idle": 5_000_000, "retry_after": true},
+        "contract": {"drain_grace": 500_000}, "load_info": {"fields": ["depth", "x0"], "source": "pull"},
+        "project_types": [of("render", "safe"), of("publish", "unsafe")]})
+}
+
+fn launch(config: &str) -> Child {
+    static NUMBER: AtomicU32 = AtomicU32::new(0);
+    let number = NUMBER.fetch_add(1, Ordering::Relaxed);
+    let path = format!("{}/config-{}-{number}.json", env!("CARGO_TARGET_TMPDIR"), std::process::id());
+    std::fs::write(&path, config).unwrap();
+    Command::new(env!("CARGO_BIN_EXE_troutknotd"))
+        .env("ROUTER_CONFIG", path)
+        .stdout(Stdio::piped())
+        .stderr(Stdio::piped())
+        .spawn()
+        .unwrap()
+}
+
+struct Node {
+    process: Child,
+    addr: SocketAddr,
+    log: Receiver<String>,
+}
+
+impl Node {
+    fn start(discovery: &Discovery, sockets: u64) -> Self {
+        let config = json!({"name": "n0", "listen": "127.0.0.1:0", "discovery": discovery.addr.to_string(),
+            "seed": "8c1f30d27a5be964", "limits": {"cores": 1.0, "memory_mb": 64, "sockets": sockets},
+            "settings": settings()});
+        let mut process = launch(&config.to_string());
+        let (send, log) = mpsc::channel();
+        let lines = BufReader::new(process.stdout.take().unwrap()).lines();
+        thread::spawn(move || lines.map_while(Result::ok).for_each(|line| _ = send.send(line)));
+        let mut node = Node { process, addr: ([127, 0, 0, 1], 0).into(), log };
+        let line = node.logged(" listens at ");
+        node.addr = line.split(" listens at ").nth(1).unwrap().split(": ").next().unwrap().parse().unwrap();
+        while node.ask(HEALTH).0 != 200 {
+            thread::yield_now();
+        }
+        node
+    }
+
+    fn logged(&self, part: &str) -> String {
+        let end = Instant::now() + PATIENCE;
+        loop {
+            let line = self.log.recv_timeout(end - Instant::now()).expect("the log says it in time");
+            if line.contains(part) {
+                return line;
+            }
+        }
+    }
+
+    fn connect(&self) -> BufReader<TcpStream> {
+        let stream = TcpStream::connect(self.addr).unwrap();
+        stream.set_read_timeout(Some(PATIENCE)).unwrap();
+        BufReader::new(stream)
+    }
+
+    fn ask(&self, request: impl AsRef<[u8]>) -> (u16, Message) {
+        ask(&mut self.connect(), request)
+    }
+
+    /// Sends the signal that asks a node to end.
+    fn terminate(&self) {
+        assert!(Command::new("kill").arg(self.process.id().to_string()).status().unwrap().success());
+    }
+}
+
+impl Drop for Node {
+    fn drop(&mut self) {
+        let _ = self.process.kill();
+        let _ = self.process.wait();
+    }
+}
+
+const HEALTH: &str = "GET /_health HTTP/1.1\r\nHost: n\r\n\r\n";
+
+fn answer(connection: &mut BufReader<TcpStream>) -> (u16, Message) {
+    let (head, body) = message(connection).expect("the node answers");
+    (head.split(' ').nth(1).unwrap().parse().unwrap(), (head, body))
+}
+
+fn ask(connection: &mut BufReader<TcpStream>, request: impl AsRef<[u8]>) -> (u16, Message) {
+    // The node may answer and close before it has taken all.
+    let _ = connection.get_mut().write_all(request.as_ref());
+    answer(connection)
+}
+
+fn work(project_type: &str, id: &str, wait: f64, body: &str) -> String {
+    format!(
+        "POST /{project_type}/a?b=c HTTP/1.1\r\nHost: app.svc\r\nRequest-Id: {id}\r\n\
+         Request-Class: {project_type}\r\nRequest-Timeout: {wait}\r\nX-Other: kept\r\n\
+         Content-Length: {}\r\n\r\n{body}",
+        body.len()
+    )
+}
+
+fn one_executor() -> (Executor, Discovery) {
+    let executor = Executor::start();
+    let discovery = Discovery::start(list(7, true, &[entry("s-1", &executor, "Ready")]));
+    (executor, discovery)
+}
+
+#[test]
+fn answers_follow_from_what_executors_do_and_what_may_run_twice() {
+    use Act::*;
+    let (executor, discovery) = one_executor();
+    let node = Node::start(&discovery, 256);
+    let mut connection = node.connect();
+    // Project type, what the executor does, the wait, status, allocations.
+    let cases: &[(&str, &[Act], f64, u16, usize)] = &[
+        ("render", &[Done], 3.0, 200, 1),
+        ("render", &[Large(60_000)], 3.0, 200, 1),
+        ("render", &[Lost, Break, Done], 3.0, 200, 3),
+        ("render", &[Status500, Garbage, Done], 3.0, 200, 3),
+        ("render", &[TurnedAway, TurnedAway, TurnedAway], 3.0, 503, 3),
+        ("render", &[Silent], 0.3, 503, 1),
+        ("publish", &[Done], 3.0, 200, 1),
+        ("publish", &[TurnedAway, Returned, Done], 3.0, 200, 3),
+        ("publish", &[Break], 3.0, 502, 1),
+        ("publish", &[Lost], 3.0, 502, 1),
+        ("publish", &[Status500], 3.0, 502, 1),
+        ("publish", &[Garbage], 3.0, 502, 1),
+        ("publish", &[OtherId], 3.0, 502, 1),
+        ("publish", &[Returned, Returned, Returned], 3.0, 503, 3),
+        ("publish", &[Silent], 0.3, 502, 1),
+    ];
+    for (k, (project_type, acts, wait, status, allocations)) in cases.iter().enumerate() {
+        executor.acts.lock().unwrap().extend(acts.iter());
+        let body = format!("{k}").repeat(20_000);
+        let (start, id) = (Instant::now(), format!("{k:016x}"));
+        let (got, (_, result)) = ask(&mut connection, work(project_type, &id, *wait, &body));
+        assert!(start.elapsed().as_secs_f64() < *wait, "{acts:?}: answered before its hard limit");
+        let seen = std::mem::take(&mut *executor.seen.lock().unwrap());
+        assert_eq!((got, seen.len()), (*status, *allocations), "{project_type} {acts:?}");
+        let expected = acts.iter().map(|act| if let Large(size) = act { *size } else { 3 }).next_back();
+        assert_eq!(result.len(), if got == 200 { expected.unwrap() } else { 0 }, "{acts:?}");
+        for (head, sent) in seen {
+            assert!(head.starts_with(&format!("POST /{project_type}/a?b=c HTTP/1.1\r\n")), "{head}");
+            assert_eq!((field(&head, "request-id"), field(&head, "x-other")), (Some(&*id), Some("kept")));
+            assert!(field(&head, "request-timeout").unwrap().parse::<f64>().unwrap() <= *wait);
+            assert_eq!(sent, body.as_bytes());
+        }
+    }
+}
+
+#[test]
+fn bad_input_gets_its_status_and_the_node_serves_on() {
+    let (executor, discovery) = one_executor();
+    let node = Node::start(&discovery, 256);
+    let good = work("render", "1", 3.0, "");
+    let large = "x".repeat(64 * 1024 + 1);
+    let chunked = "Transfer-Encoding: chunked";
+    for (what, request, status) in [
+        ("good", good.clone(), 200),
+        ("chunked", good.replace("Content-Length: 0", chunked) + "3\r\nabc\r\n0\r\n\r\n", 200),
+        ("asks first", good.replace("Length: 0", "Length: 2\r\nExpect: 100-continue") + "ab", 200),
+        ("no length", good.replace("Content-Length: 0\r\n", ""), 200),
+        ("not HTTP", "\x01\x02 what\r\n\r\n".into(), 400),
+        ("no host", good.replace("Host: app.svc\r\n", ""), 400),
+        ("two lengths", good.replace("Length: 0", "Length: 0\r\nContent-Length: 5"), 400),
+        ("odd length", good.replace("Length: 0", "Length: -1"), 400),
+        ("length and coding", good.replace("Length: 0", &format!("Length: 0\r\n{chunked}")), 400),
+        ("unknown coding", good.replace("Content-Length: 0", "Transfer-Encoding: gzip"), 501),
+        ("odd chunk", good.replace("Content-Length: 0", chunked) + "xyz\r\n", 400),
+        ("large", work("render", "1", 3.0, &large), 413),
+        ("large chunk", good.replace("Content-Length: 0", chunked) + "fffffff\r\n", 413),
+        ("large head", good.replace("kept", &large), 431),
+        ("many headers", good.replace("kept", &"x\r\nY: y".repeat(80)), 431),
+        ("no id", good.replace("Request-Id: 1\r\n", ""), 400),
+        ("two ids", good.replace("Request-Id: 1", "Request-Id: 1\r\nRequest-Id: 2"), 400),
+        ("odd id", good.replace("Request-Id: 1", "Request-Id: 1 2"), 400),
+        ("odd wait", good.replace("Timeout: 3", "Timeout: soon"), 400),
+        ("endless wait", good.replace("Timeout: 3", "Timeout: inf"), 400),
+        ("negative wait", good.replace("Timeout: 3", "Timeout: -3"), 400),
+        ("odd figures", good.replace("X-Other", "Request-Info: slots=NaN\r\nX-Other"), 400),
+        ("unknown path", good.replace("/render/a", "/elsewhere"), 404),
+        ("unknown type", good.replace("render", "sing"), 404),
+        ("two types", good.replace("Class: render", "Class: publish"), 400),
+        ("no POST", good.replace("POST", "PUT"), 405),
+    ] {
+        assert_eq!(node.ask(&request).0, status, "{what}");
+    }
+    let mut half = node.connect();
+    half.get_mut().write_all(&good.as_bytes()[..40]).unwrap();
+    let mut pair = node.connect();
+    pair.get_mut().write_all((good.clone() + &good.replace("Id: 1", "Id: 2")).as_bytes()).unwrap();
+    assert_eq!((answer(&mut pair).0, answer(&mut pair).0), (200, 200), "one after the other");
+    executor.acts.lock().unwrap().push_back(Act::Wait);
+    let mut first = node.connect();
+    let before = executor.seen.lock().unwrap().len();
+    first.get_mut().write_all(work("publish", "9", 3.0, "").as_bytes()).unwrap();
+    executor.wait_for(before + 1);
+    assert_eq!(node.ask(work("publish", "9", 3.0, "")).0, 409, "an id that is open is not run twice");
+    executor.go_on.send(()).unwrap();
+    assert_eq!(answer(&mut first).0, 200);
+}
+
+#[test]
+fn the_list_is_followed_through_drains_breaks_repeats_and_garbage() {
+    let (one, two) = (Executor::start(), Executor::start());
+    let both = list(7, true, &[entry("s-1", &one, "Ready"), entry("s-2", &two, "Ready")]);
+    let discovery = Discovery::start(both.clone());
+    let node = Node::start(&discovery, 256);
+    assert!(discovery.asked.recv_timeout(PATIENCE).unwrap().ends_with("?stream=1 HTTP/1.1"));
+    let mut id = 0;
+    let mut used = |times: usize| {
+        for _ in 0..times {
+            id += 1;
+            assert_eq!(node.ask(work("render", &id.to_string(), 3.0, "")).0, 200);
+        }
+        let seen = |executor: &Executor| std::mem::take(&mut *executor.seen.lock().unwrap()).len();
+        (seen(&one), seen(&two))
+    };
+    discovery.lines.send(list(8, false, &[entry("s-1", &one, "Terminating")])).unwrap();
+    // An older list after the drain must not bring the executor back.
+    discovery.lines.send(both).unwrap();
+    node.logged("version 7 is not new");
+    assert_eq!(used(20), (0, 20), "nothing to one that drains");
+    for broken in ["", "{\"version\": what"] {
+        discovery.lines.send(broken.into()).unwrap();
+        node.logged("watch of the list broke off");
+        assert!(discovery.asked.recv_timeout(PATIENCE).unwrap().ends_with("&index=8 HTTP/1.1"));
+        assert_eq!(used(5), (0, 5), "the list stays in use meanwhile");
+    }
+    discovery.lines.send(list(9, true, &[entry("s-1", &one, "Ready")])).unwrap();
+    while used(1) != (1, 0) {}
+    assert_eq!(used(20), (20, 0), "who is missing from a whole list is gone");
+}
+
+#[test]
+fn asked_to_end_it_answers_what_is_taken_and_what_still_comes() {
+    let (executor, discovery) = one_executor();
+    let mut node = Node::start(&discovery, 256);
+    executor.acts.lock().unwrap().push_back(Act::Wait);
+    let mut taken = node.connect();
+    taken.get_mut().write_all(work("publish", "1", 3.0, "").as_bytes()).unwrap();
+    executor.wait_for(1);
+    let mut idle = node.connect();
+    node.terminate();
+    node.logged("asked to end");
+    assert_eq!(node.ask(HEALTH).0, 503, "no front takes it in");
+    assert_eq!(node.ask(work("render", "2", 3.0, "")).0, 200, "on a new connection");
+    assert_eq!(ask(&mut idle, work("render", "3", 3.0, "")).0, 200, "on one that it had");
+    assert_eq!(idle.read(&mut [0]).unwrap(), 0, "idle connections are closed");
+    executor.go_on.send(()).unwrap();
+    let (status, (head, _)) = answer(&mut taken);
+    assert_eq!((status, field(&head, "connection")), (200, Some("close")));
+    assert!(node.process.wait().unwrap().success());
+}
+
+#[test]
+fn what_is_out_when_the_time_to_end_is_over_is_answered_all_the_same() {
+    let (executor, discovery) = one_executor();
+    let mut node = Node::start(&discovery, 256);
+    executor.acts.lock().unwrap().extend([Act::Silent, Act::Silent]);
+    let mut connections = ["render", "publish"].map(|project_type| {
+        let mut connection = node.connect();
+        connection.get_mut().write_all(work(project_type, project_type, 60.0, "").as_bytes()).unwrap();
+        connection
+    });
+    executor.wait_for(2);
+    // The hard limit of both is later than the time that a node has to end.
+    node.terminate();
+    let statuses = connections.each_mut().map(|connection| answer(connection).0);
+    assert_eq!(statuses, [503, 502], "deferred where a retry is harmless, else aborted");
+    assert!(node.process.wait().unwrap().success());
+}
+
+#[test]
+fn a_full_node_says_so_and_keeps_within_its_descriptors() {
+    let (executor, discovery) = one_executor();
+    let node = Node::start(&discovery, 64);
+    executor.acts.lock().unwrap().extend([Act::Wait; 40]);
+    let mut connections: Vec<_> = (0..40).map(|_| node.connect()).collect();
+    for (k, connection) in connections.iter_mut().enumerate() {
+        connection.get_mut().write_all(work("publish", &k.to_string(), 2.5, "").as_bytes()).unwrap();
+    }
+    executor.wait_for(8);
+    let open = std::fs::read_dir(format!("/proc/{}/fd", node.process.id())).unwrap().count();
+    assert!(open <= 64, "{open} descriptors");
+    let mut counts = BTreeMap::new();
+    for _ in 0..40 {
+        executor.go_on.send(()).unwrap();
+    }
+    for connection in &mut connections {
+        *counts.entry(answer(connection).0).or_insert(0) += 1;
+    }
+    assert!(counts.keys().all(|status| [200, 503].contains(status)), "{counts:?}");
+    assert!(counts[&200] >= 8 && counts[&503] >= 1, "{counts:?}");
+    drop(connections);
+    assert_eq!(node.ask(work("render", "100", 3.0, "")).0, 200, "and serves on");
+}
+
+#[test]
+fn bad_configuration_is_one_plain_line() {
+    let good = json!({"name": "n0", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:9", "seed": "8c",
+        "limits": {"memory_mb": 64, "sockets": 64}, "settings": settings()});
+    let with = |path: &str, value: Value| {
+        let mut config = good.clone();
+        *config.pointer_mut(path).unwrap() = value;
+        config.to_string()
+    };
+    for (config, part) in [
+        (String::new(), "EOF"),
+        ("{\"name\": 5}".into(), "string"),
+        (with("/listen", json!("here")), "socket address"),
+        (with("/listen", json!("192.0.2.1:1")), "cannot listen at"),
+        (with("/seed", json!("none")), "odd seed"),
+        (with("/limits", json!({"memory_mb": -1, "sockets": 64})), "invalid value"),
+        (with("/settings", json!({})), "no project type"),
+        (with("/settings/project_types/0/hard_limit", json!("long")), "wrong type"),
+        (with("/settings/project_types/0/hard_limit", json!(0)), "no hard limit"),
+    ] {
+        let out = launch(&config).wait_with_output().unwrap();
+        let said = String::from_utf8(out.stderr).unwrap();
+        assert!(!out.status.success() && said.lines().count() == 1 && said.contains(part), "{said}");
+    }
+}
