Guards against a node that stood still, and tests of overtaken allocations, framing and slow senders

A last line of an executor without its line feed now counts. Checked by tables in executors.rs, http1.rs, words.rs and clients.rs.

--- a/crates/daemon/src/clients.rs
+++ b/crates/daemon/src/clients.rs
@@ -252,3 +252,56 @@
         answer
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::io::{Read, Write};
+
+    /// The clock stands still until nothing else is left to do, so that long waits take no time.
+    #[tokio::test(start_paused = true)]
+    async fn half_sent_requests_time_out_and_idle_connections_end() {
+        let settings = serde_json::json!({"project_types": [{"name": "render", "hard_limit": 5_000_000}]});
+        let settings = settings.as_object().unwrap();
+        let values = troutknot_hosting::named_values(settings).unwrap();
+        let words = Rc::new(Vocabulary::of(settings, &values).unwrap());
+        let stated = crate::limits::Stated {
+            memory_mb: 64,
+            sockets: 128,
+            connect_wait: None,
+            executors_idle: None,
+            drain_grace: None,
+        };
+        let limits = Rc::new(Limits::of(&stated));
+        let (events, mut told) = mpsc::channel(16);
+        let (_stage, staged) = watch::channel(Stage::Serving);
+        let clients = Clients::new(limits, words, events, staged);
+        let whole = "POST /render HTTP/1.1\r\nHost: a\r\nRequest-Id: 1\r\nConnection: close\r\nContent-Length: 2\r\n\r\nab";
+        let local = tokio::task::LocalSet::new();
+        for (sent, expected) in [
+            ("", ""),
+            (&whole[..9], "HTTP/1.1 408"),
+            (&whole[..whole.len() - 1], "HTTP/1.1 408"),
+            // Nobody answers it, so its own side does, before the client gives up.
+            (whole, "HTTP/1.1 502"),
+        ] {
+            let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+            let mut client = std::net::TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+            client.write_all(sent.as_bytes()).unwrap();
+            let clients = &clients;
+            let serve = async {
+                let (stream, _) = listener.accept().await.unwrap();
+                clients.take(stream);
+                while clients.connections() > 0 {
+                    sleep(Duration::from_millis(10)).await;
+                }
+            };
+            local.run_until(serve).await;
+            let mut got = vec![0; expected.len()];
+            client.read_exact(&mut got).unwrap();
+            assert_eq!(String::from_utf8(got).unwrap(), expected, "{sent}");
+        }
+        assert!(matches!(told.try_recv(), Ok(Event::Arrived(exchange)) if exchange.is_over()));
+        assert!(matches!(told.try_recv(), Ok(Event::Left(_))));
+    }
+}
--- a/crates/daemon/src/driver.rs
+++ b/crates/daemon/src/driver.rs
@@ -14,6 +14,9 @@
 /// So many events at most are told before the actions that follow from them are taken.
 const MOST_AT_ONCE: usize = 64;
 
+/// How often the others are let go first after a standstill: a follower reads, then tells.
+const READ_FIRST: usize = 4;
+
 /// What the sides tell the driver.
 pub enum Event {
     Arrived(Rc<Exchange>),
@@ -40,6 +43,8 @@
     },
     List(ListKind, Vec<Entry>),
     ListLost,
+    /// The time that the dispatcher asked for has come.
+    Woken,
     /// The node ends soon: what is out is cut, and nothing more is sent.
     OutOfTime,
     /// The node ends now: what is open gets its last answer.
@@ -67,6 +72,7 @@
     listed: HashSet<ExecutorId>,
     wake: Option<Instant>,
     out_of_time: bool,
+    standstill: Millis,
 }
 
 impl Driver {
@@ -78,6 +84,7 @@
         events: mpsc::Receiver<Event>,
         stage: watch::Sender<Stage>,
     ) -> Self {
+        let standstill = executors.limits.standstill.as_secs_f64() * 1000.0;
         Driver {
             dispatcher,
             clock: executors.clock,
@@ -91,11 +98,12 @@
             listed: HashSet::new(),
             wake: None,
             out_of_time: false,
+            standstill,
         }
     }
 
     pub async fn run(mut self) {
-        let mut actions = Vec::new();
+        let (mut actions, mut batch, mut looked) = (Vec::new(), Vec::new(), self.clock.now());
         loop {
             let wake = self.wake;
             let first = tokio::select! {
@@ -103,16 +111,25 @@
                 event = self.events.recv() => event,
                 () = async { sleep_until(wake.unwrap_or_else(Instant::now)).await }, if wake.is_some() => {
                     self.wake = None;
-                    self.dispatcher.tell(self.clock.now(), troutknot::Event::TimerFired);
-                    None
+                    Some(Event::Woken)
                 }
             };
-            let now = self.clock.now();
-            if let Some(event) = first {
-                self.tell(now, event);
+            if self.clock.now() - looked > self.standstill {
+                // Guards against a node that stood still: the others first read what has come for them, and
+                // news of the list counts before anything is decided.
+                for _ in 0..READ_FIRST {
+                    tokio::task::yield_now().await;
+                }
             }
-            for _ in 1..MOST_AT_ONCE {
+            batch.extend(first);
+            while batch.len() < MOST_AT_ONCE {
                 let Ok(event) = self.events.try_recv() else { break };
+                batch.push(event);
+            }
+            batch.sort_by_key(|event| !matches!(event, Event::List(..)));
+            let now = self.clock.now();
+            looked = now;
+            for event in batch.drain(..) {
                 self.tell(now, event);
             }
             self.dispatcher.emit(now, &mut actions);
@@ -162,6 +179,7 @@
             }
             Event::List(kind, entries) => self.list(kind, entries),
             Event::ListLost => Told::ListLost,
+            Event::Woken => Told::TimerFired,
             Event::OutOfTime => {
                 self.out_of_time = true;
                 let stops = self.open.values_mut().filter_map(|open| open.stop.take());
@@ -217,7 +235,8 @@
                     open.stop = Some(stop);
                 }
                 let cut = self.clock.when(cut_at).min(open.exchange.limit);
-                let push = Push { exchange: open.exchange.clone(), executor, alloc, cut };
+                let decided = Instant::now();
+                let push = Push { exchange: open.exchange.clone(), executor, alloc, decided, cut };
                 tokio::task::spawn_local(self.executors.clone().allocate(push, stopped));
             }
             Action::Cancel { wu, alloc } => {
--- a/crates/daemon/src/executors.rs
+++ b/crates/daemon/src/executors.rs
@@ -74,6 +74,7 @@
     pub exchange: Rc<Exchange>,
     pub executor: ExecutorId,
     pub alloc: AllocId,
+    pub decided: Instant,
     pub cut: Instant,
 }
 
@@ -256,7 +257,10 @@
             Err(outcome) => return (outcome, None),
         };
         let now = Instant::now();
-        if exchange.is_over() || host.is_shut() || now >= push.cut {
+        // Guards against a node that stood still: what it decided before may have been overtaken by news
+        // that it has not read yet.
+        let stood = now - push.decided > self.limits.connect_wait + self.limits.standstill;
+        if exchange.is_over() || host.is_shut() || now >= push.cut || stood {
             self.put_back(host, connection);
             return (Outcome::NotSent, None);
         }
@@ -306,11 +310,7 @@
         let most = 2 * self.limits.body;
         loop {
             let ended = connection.body(&mut head.body, &mut buffer, most, true).await?;
-            while let Some(at) = buffer.iter().position(|&b| b == b'\n') {
-                let line = buffer.split_to(at + 1);
-                if line.trim_ascii().is_empty() {
-                    continue;
-                }
+            while let Some(line) = words::next_line(&mut buffer, ended) {
                 let told = words::line(&line, &exchange.work.id).map_err(|why| {
                     tracing::warn!("executor line not understood: {why}");
                     Failed::Ended
@@ -343,8 +343,11 @@
             // Guards against connections to a machine that is cut off: they stay open and silent.
             host.idle.borrow_mut().clear();
         }
-        let reading = answer.ok().flatten();
-        let lag = start.elapsed().as_secs_f64() * 1000.0;
+        let lag = start.elapsed();
+        // Guards against a node that stood still: an answer that waited for it says nothing of now.
+        let late = lag > self.limits.probe_wait + self.limits.standstill;
+        let reading = answer.ok().flatten().filter(|_| !late);
+        let lag = lag.as_secs_f64() * 1000.0;
         let _ = self.events.send(Event::Probed { executor, lag, reading }).await;
     }
 
@@ -362,3 +365,147 @@
         reading
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::exchange::{HeldBytes, Work};
+    use bytes::Bytes;
+    use socket2::{Domain, Socket, Type};
+    use tokio::task::LocalSet;
+    use troutknot::{CustomerId, ProjectTypeId, WuId};
+
+    const EXECUTOR: ExecutorId = ExecutorId(0);
+
+    fn executors() -> (Rc<Executors>, mpsc::Receiver<Event>) {
+        let settings = serde_json::json!({"project_types": [{"name": "render", "hard_limit": 5_000_000}]});
+        let settings = settings.as_object().unwrap();
+        let values = troutknot_hosting::named_values(settings).unwrap();
+        let words = Rc::new(Vocabulary::of(settings, &values).unwrap());
+        let wait = Some(Duration::from_secs(5));
+        let limits = Limits::of(&crate::limits::Stated {
+            memory_mb: 64,
+            sockets: 128,
+            connect_wait: wait,
+            executors_idle: wait,
+            drain_grace: None,
+        });
+        let (events, told) = mpsc::channel(16);
+        (Executors::new(Rc::new(limits), words, events, Clock::start()), told)
+    }
+
+    fn exchange() -> Rc<Exchange> {
+        let work = Work {
+            id: "1".into(),
+            method: "POST".into(),
+            target: "/render".into(),
+            fields: Bytes::new(),
+            body: Bytes::new(),
+            project_type: ProjectTypeId(0),
+            customer: CustomerId(0),
+            slots: 1.0,
+            memory: 0.0,
+            again: false,
+        };
+        Exchange::new(WuId(1), work, Instant::now(), &HeldBytes::new(1000)).unwrap()
+    }
+
+    /// Listens, and with `full` so that every connection hangs: its queue is taken up.
+    fn listener(full: bool) -> (std::net::TcpListener, Vec<std::net::TcpStream>) {
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+        socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).unwrap();
+        socket.listen(if full { 0 } else { 8 }).unwrap();
+        let addr = socket.local_addr().unwrap().as_socket().unwrap();
+        let fillers = (0..if full { 1 } else { 0 }).map(|_| std::net::TcpStream::connect(addr).unwrap());
+        (socket.into(), fillers.collect())
+    }
+
+    #[derive(Debug, Clone, Copy, PartialEq)]
+    enum Overtaken {
+        WorkUnitOver,
+        GraceEnded,
+        CutCame,
+        Stopped,
+        NodeStoodStill,
+    }
+    use Overtaken::*;
+
+    #[tokio::test]
+    async fn an_allocation_that_is_overtaken_while_it_connects_is_dropped_unsent() {
+        let local = LocalSet::new();
+        for (by, expected) in [
+            (WorkUnitOver, Outcome::NotSent),
+            (GraceEnded, Outcome::NotSent),
+            (CutCame, Outcome::NoConnection),
+            (Stopped, Outcome::NotSent),
+            (NodeStoodStill, Outcome::NotSent),
+        ] {
+            let hangs = by != NodeStoodStill;
+            let (listener, _fillers) = listener(hangs);
+            let (executors, mut told) = executors();
+            executors.listed(EXECUTOR, Some(listener.local_addr().unwrap()), None, true);
+            let (exchange, now) = (exchange(), Instant::now());
+            let cut = now + Duration::from_millis(if by == CutCame { 50 } else { 60_000 });
+            let decided = if by == NodeStoodStill { now - Duration::from_secs(6) } else { now };
+            let push =
+                Push { exchange: exchange.clone(), executor: EXECUTOR, alloc: AllocId(0), decided, cut };
+            let (stop, stopped) = oneshot::channel();
+            let overtake = async {
+                if hangs {
+                    // It hangs in its connection by now: nothing came of it.
+                    let early = timeout(Duration::from_millis(30), told.recv()).await;
+                    assert!(early.is_err(), "{by:?}");
+                }
+                match by {
+                    WorkUnitOver => _ = exchange.close(),
+                    GraceEnded => executors.shut(EXECUTOR),
+                    Stopped => stop.send(Outcome::Cancelled).unwrap(),
+                    _ => {}
+                }
+                told.recv().await
+            };
+            let both = async { tokio::join!(overtake, executors.clone().allocate(push, stopped)).0 };
+            let event = local.run_until(timeout(Duration::from_secs(4), both)).await.unwrap();
+            assert!(matches!(event, Some(Event::Ended { outcome, .. }) if outcome == expected), "{by:?}");
+            if !hangs {
+                let (stream, _) = listener.accept().unwrap();
+                let mut one = [std::mem::MaybeUninit::uninit()];
+                let stream = Socket::from(stream);
+                stream.set_nonblocking(true).unwrap();
+                assert!(!matches!(stream.recv(&mut one), Ok(n) if n > 0), "no byte was sent");
+            }
+        }
+    }
+
+    #[tokio::test]
+    async fn pooled_connections_are_used_again_until_they_end_or_the_executor_moves() {
+        let (executors, _told) = executors();
+        let (first, _) = listener(false);
+        let (second, _) = listener(false);
+        let [a, b] = [&first, &second].map(|l| l.local_addr().unwrap());
+        let most = executors.limits.executors;
+        executors.listed(EXECUTOR, Some(a), Some(1.0), true);
+        let host = executors.host(EXECUTOR);
+        // What happens while it is idle, and whether it is used again.
+        for (what, again) in [("nothing", true), ("closed", false), ("restarted", false), ("moved", false)] {
+            let connection = executors.connect(&host, most).await.ok().unwrap();
+            let (there, _) = if host.addr.get() == Some(a) { &first } else { &second }.accept().unwrap();
+            executors.put_back(&host, connection);
+            assert_eq!((host.idle.borrow().len(), executors.open.get()), (1, 1));
+            match what {
+                "closed" => drop(there),
+                "restarted" => executors.listed(EXECUTOR, Some(a), Some(2.0), true),
+                "moved" => executors.listed(EXECUTOR, Some(b), Some(2.0), true),
+                _ => {}
+            }
+            assert_eq!(host.take_idle(executors.limits.retire_after).is_some(), again, "{what}");
+            assert_eq!(executors.open.get(), 0, "{what}");
+        }
+        let old = executors.connect(&host, most).await.ok().unwrap();
+        executors.listed(EXECUTOR, Some(a), Some(3.0), true);
+        executors.put_back(&host, old);
+        assert!(host.idle.borrow().is_empty(), "one from before a restart is not kept");
+        let used: Vec<_> = [executors.connect(&host, 1).await, executors.connect(&host, 1).await].into();
+        assert!(used[0].is_ok() && matches!(used[1], Err(Outcome::NotSent)), "no more than the most");
+    }
+}
--- a/crates/daemon/src/http1.rs
+++ b/crates/daemon/src/http1.rs
@@ -474,3 +474,58 @@
     out.extend_from_slice(b"\r\n");
     out
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn bodies_come_in_any_pieces() {
+        let chunked = Body::ChunkSize;
+        for (body, text, most, expected) in [
+            (Body::Length(5), "helloGET", 5, Ok("hello")),
+            (Body::Length(6), "hello!", 5, Err(Bad::BodyTooLarge)),
+            (chunked, "5\r\nhello\r\n0\r\n\r\nGET", 5, Ok("hello")),
+            (chunked, "2;a=b\r\nhe\r\n3\r\nllo\r\n0\r\nX: y\r\n\r\nGET", 5, Ok("hello")),
+            (chunked, "2\r\nhe\r\n4\r\nllo!\r\n0\r\n\r\n", 5, Err(Bad::BodyTooLarge)),
+            (chunked, "2\r\nhello", 5, Err(Bad::Malformed("a chunk does not end"))),
+            (chunked, "g\r\n", 5, Err(Bad::Malformed("odd chunk size"))),
+            (chunked, "fffffffffffffffff\r\n", 5, Err(Bad::Malformed("odd chunk size"))),
+        ] {
+            for step in 1..=text.len() {
+                let (mut state, mut input, mut out) = (body, Ring::new(32), BytesMut::new());
+                let mut got = Ok(false);
+                let mut left = text.as_bytes();
+                while got == Ok(false) && !left.is_empty() {
+                    let n = input.push(&left[..step.min(left.len())]);
+                    left = &left[n..];
+                    got = state.take(&mut input, &mut out, most);
+                }
+                let got = got.map(|whole| assert!(whole, "{text} by {step}"));
+                assert_eq!(got.map(|()| std::str::from_utf8(&out).unwrap()), expected, "{text} by {step}");
+            }
+        }
+    }
+
+    #[test]
+    fn answer_heads_say_whether_the_connection_may_be_kept() {
+        for (text, status, body, keep) in [
+            ("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n", 200, Body::Length(3), true),
+            (
+                "HTTP/1.1 200 OK\r\nContent-Length: 3\r\nConnection: close\r\n\r\n",
+                200,
+                Body::Length(3),
+                false,
+            ),
+            ("HTTP/1.1 200 OK\r\nTransfer-Encoding: Chunked\r\n\r\n", 200, Body::ChunkSize, true),
+            ("HTTP/1.1 200 OK\r\n\r\n", 200, Body::UntilEnd, false),
+            ("HTTP/1.0 200 OK\r\nContent-Length: 0\r\n\r\n", 200, Body::Done, false),
+            ("HTTP/1.1 204 None\r\n\r\n", 204, Body::Done, true),
+        ] {
+            let (head, n) = answer_head(text.as_bytes()).unwrap().unwrap();
+            assert_eq!((head.status, head.body, head.keep, n), (status, body, keep, text.len()), "{text}");
+            assert!(answer_head(&text.as_bytes()[..n - 1]).unwrap().is_none(), "{text}");
+        }
+        assert!(answer_head(b"SSH-2.0-x\r\n\r\n").is_err());
+    }
+}
--- a/crates/daemon/src/limits.rs
+++ b/crates/daemon/src/limits.rs
@@ -34,6 +34,8 @@
     pub client_settle: Duration,
     pub connect_wait: Duration,
     pub probe_wait: Duration,
+    /// A node that was not run for longer has stood still, and what it knows may be old.
+    pub standstill: Duration,
     /// A pooled connection is not used again after it stood idle for so long.
     pub retire_after: Duration,
     /// How long after a work unit's result the end of the answer may take, for the connection to be kept.
@@ -79,11 +81,12 @@
             executors,
             work_units: clients,
             events: 4096,
-            client_wait: Duration::from_secs(10),
+            client_wait: Duration::from_secs(5),
             client_idle: Duration::from_secs(120),
             client_settle: Duration::from_secs(1),
             connect_wait,
             probe_wait: connect_wait,
+            standstill: Duration::from_millis(100),
             retire_after: part(stated.executors_idle.unwrap_or(Duration::from_secs(5)), 0.7),
             tail_wait: Duration::from_millis(100),
             drain_wait: part(stated.drain_grace.unwrap_or_default(), 0.5),
--- a/crates/daemon/src/list.rs
+++ b/crates/daemon/src/list.rs
@@ -2,7 +2,7 @@
 use crate::driver::Event;
 use crate::http1::{Connection, Failed};
 use crate::limits::Limits;
-use crate::words::{List, Vocabulary};
+use crate::words::{self, List, Vocabulary};
 use bytes::BytesMut;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -86,11 +86,7 @@
         loop {
             let more = connection.body(&mut head.body, &mut buffer, most, true);
             let ended = timeout(silence, more).await.map_err(silent)?.map_err(said)?;
-            while let Some(at) = buffer.iter().position(|&b| b == b'\n') {
-                let line = buffer.split_to(at + 1);
-                if line.trim_ascii().is_empty() {
-                    continue;
-                }
+            while let Some(line) = words::next_line(&mut buffer, false) {
                 let list: List = serde_json::from_slice(&line).map_err(|e| format!("garbage: {e}"))?;
                 let kind = versions.take(&list, first);
                 first = false;
@@ -99,6 +95,7 @@
                         let told = Event::List(kind, list.entries);
                         self.events.send(told).await.map_err(|_| "the node ends".to_string())?;
                     }
+                    None if list.entries.is_empty() => {}
                     None => tracing::info!("list version {} is not new, passed over", list.version),
                 }
             }
--- a/crates/daemon/src/words.rs
+++ b/crates/daemon/src/words.rs
@@ -225,6 +225,17 @@
     }
 }
 
+/// Takes the next line that is not empty; at the end of the text also one that lacks its line feed.
+pub fn next_line(text: &mut BytesMut, ended: bool) -> Option<BytesMut> {
+    loop {
+        let end = text.iter().position(|&b| b == b'\n').map(|at| at + 1);
+        let line = text.split_to(end.or(ended.then_some(text.len())).filter(|&n| n > 0)?);
+        if !line.trim_ascii().is_empty() {
+            return Some(line);
+        }
+    }
+}
+
 /// One line that an executor tells of an allocation.
 #[derive(Debug, PartialEq)]
 pub enum Told {
@@ -286,3 +297,44 @@
     weight: Option<f64>,
     started_ms: Option<f64>,
 }
+
+#[test]
+fn lines_of_executors_and_what_they_prove() {
+    let of = |text: &str| line(text.as_bytes(), "a1");
+    for (text, expected) in [
+        (r#"{"id":"a1","from":"s","state":"started"}"#, Some(Told::Started)),
+        (r#"{"id":"a1","state":"running","share":0.4}"#, Some(Told::Progress(0.4))),
+        (r#"{"id":"a1","state":"done","result":"x\n"}"#, Some(Told::Result("x\n".into()))),
+        (r#"{"state":"done","result":{"n": 1}}"#, Some(Told::Result("{\"n\": 1}".into()))),
+        (r#"{"id":"a1","state":"done"}"#, None),
+        (r#"{"id":"b2","state":"done","result":"x"}"#, None),
+        (r#"{"id":"a1","state":"failed","load":{"queue":1}}"#, Some(Told::Ended(Outcome::Error))),
+        (r#"{"id":"a1","state":"returned"}"#, Some(Told::Ended(Outcome::Full))),
+        (r#"{"id":"a1","state":"lost"}"#, Some(Told::Ended(Outcome::Reset))),
+        (r#"{"id":"a1","state":"paused"}"#, None),
+        ("done", None),
+    ] {
+        assert_eq!(of(text).ok(), expected, "{text}");
+    }
+    let mut text = BytesMut::from("\n a\r\n\nb\nc");
+    let mut next = |ended| next_line(&mut text, ended).map(|l| l.trim_ascii().to_vec());
+    assert_eq!([next(false), next(false), next(false)], [Some(b"a".into()), Some(b"b".into()), None]);
+    assert_eq!([next(true), next(true)], [Some(b"c".into()), None]);
+}
+
+#[test]
+fn heads_of_executors_and_what_they_prove() {
+    for (status, fields, expected) in [
+        (200, "", None),
+        (503, "Not-Started: 1\r\n", Some(Outcome::Full)),
+        (504, "not-started: 1\r\n", Some(Outcome::Full)),
+        (503, "", Some(Outcome::Error)),
+        (503, "Not-Started: 0\r\n", Some(Outcome::Error)),
+        (500, "Not-Started: 1\r\n", Some(Outcome::Error)),
+        (302, "", Some(Outcome::Error)),
+    ] {
+        let text = format!("HTTP/1.1 {status} x\r\n{fields}Content-Length: 0\r\n\r\n");
+        let (head, _) = http1::answer_head(text.as_bytes()).unwrap().unwrap();
+        assert_eq!(taken(&head), expected, "{text}");
+    }
+}
