--- a/crates/daemon/src/driver.rs
+++ b/crates/daemon/src/driver.rs
@@ -1,12 +1,12 @@
 //! Owns the dispatcher: tells it what the sides saw, and hands each of its actions to the side that acts.
 use crate::clients::Stage;
 use crate::clock::Clock;
-use crate::exchange::{Answer, Exchange};
+use crate::exchange::{Answer, Exchange, Stop};
 use crate::executors::{Executors, Push};
 use crate::words::{Entry, Vocabulary};
-use std::collections::{HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
-use tokio::sync::{Notify, mpsc, oneshot, watch};
+use tokio::sync::{Notify, mpsc, watch};
 use tokio::time::{Instant, sleep_until};
 use troutknot::*;
 use troutknot_hosting::Numbers;
@@ -55,7 +55,7 @@
     exchange: Rc<Exchange>,
     allocs: u32,
     /// Stops the allocation that is out.
-    stop: Option<oneshot::Sender<Outcome>>,
+    stop: Rc<Stop>,
 }
 
 pub struct Driver {
@@ -67,9 +67,9 @@
     pub numbers: Numbers,
     pub events: mpsc::Receiver<Event>,
     pub stage: Rc<watch::Sender<Stage>>,
-    open: HashMap<WuId, Open>,
+    open: BTreeMap<WuId, Open>,
     /// Who is listed, to see who is missing from a whole list.
-    listed: HashSet<ExecutorId>,
+    listed: BTreeSet<ExecutorId>,
     wake: Option<Instant>,
     out_of_time: bool,
     standstill: Millis,
@@ -94,8 +94,8 @@
             numbers: Numbers::default(),
             events,
             stage: Rc::new(stage),
-            open: HashMap::new(),
-            listed: HashSet::new(),
+            open: BTreeMap::new(),
+            listed: BTreeSet::new(),
             wake: None,
             out_of_time: false,
             standstill,
@@ -157,7 +157,7 @@
                     left,
                     again: work.again,
                 };
-                self.open.insert(exchange.wu, Open { exchange, allocs: 0, stop: None });
+                self.open.insert(exchange.wu, Open { exchange, allocs: 0, stop: Rc::default() });
                 told
             }
             Event::Left(wu) => {
@@ -182,12 +182,11 @@
             Event::Woken => Told::TimerFired,
             Event::OutOfTime => {
                 self.out_of_time = true;
-                let stops = self.open.values_mut().filter_map(|open| open.stop.take());
-                stops.for_each(|stop| _ = stop.send(Outcome::TimedOut));
+                self.open.values().for_each(|open| open.stop.tell(Outcome::TimedOut));
                 return;
             }
             Event::End => {
-                for (wu, open) in self.open.drain() {
+                for (wu, open) in std::mem::take(&mut self.open) {
                     open.exchange.answer(Answer::Aborted);
                     self.dispatcher.tell(now, Told::Withdrawn { wu });
                 }
@@ -199,7 +198,7 @@
 
     fn list(&mut self, kind: ListKind, entries: Vec<Entry>) -> troutknot::Event {
         let mut told = Vec::with_capacity(entries.len());
-        let mut missing = if kind == ListKind::Changes { HashSet::new() } else { self.listed.clone() };
+        let mut missing = if kind == ListKind::Changes { BTreeSet::new() } else { self.listed.clone() };
         for entry in &entries {
             let executor = self.numbers.of(&entry.id);
             let mut listing = self.words.listing(entry, executor);
@@ -228,23 +227,21 @@
                 let Some(open) = self.open.get_mut(&wu) else { return };
                 let alloc = AllocId(open.allocs);
                 open.allocs += 1;
-                let (stop, stopped) = oneshot::channel();
+                open.stop = Rc::default();
                 if self.out_of_time {
-                    let _ = stop.send(Outcome::TimedOut);
-                } else {
-                    open.stop = Some(stop);
+                    open.stop.tell(Outcome::TimedOut);
                 }
                 let cut = self.clock.when(cut_at).min(open.exchange.limit);
                 let decided = Instant::now();
-                let push = Push { exchange: open.exchange.clone(), executor, alloc, decided, cut };
-                tokio::task::spawn_local(self.executors.clone().allocate(push, stopped));
+                let (exchange, stop) = (open.exchange.clone(), open.stop.clone());
+                let push = Push { exchange, executor, alloc, decided, cut, stop };
+                tokio::task::spawn_local(self.executors.clone().allocate(push));
             }
             Action::Cancel { wu, alloc } => {
                 if let Some(open) = self.open.get_mut(&wu)
                     && alloc.0 + 1 == open.allocs
-                    && let Some(stop) = open.stop.take()
                 {
-                    let _ = stop.send(Outcome::Cancelled);
+                    open.stop.tell(Outcome::Cancelled);
                 }
             }
             Action::Defer { wu, come_back } => self.finish(wu, Answer::Deferred(come_back)),
--- a/crates/daemon/src/exchange.rs
+++ b/crates/daemon/src/exchange.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use tokio::sync::Notify;
 use tokio::time::Instant;
-use troutknot::{CustomerId, Millis, ProjectTypeId, WuId};
+use troutknot::{CustomerId, Millis, Outcome, ProjectTypeId, WuId};
 
 /// What a client handed in.
 pub struct Work {
@@ -134,6 +134,31 @@
     }
 }
 
+/// Tells an allocation that it must end, and how.
+#[derive(Default)]
+pub struct Stop {
+    why: Cell<Option<Outcome>>,
+    told: Notify,
+}
+
+impl Stop {
+    pub fn tell(&self, why: Outcome) {
+        self.why.set(Some(why));
+        self.told.notify_waiters();
+    }
+
+    /// Waits until it is told; it may be asked any number of times.
+    pub async fn told(&self) -> Outcome {
+        loop {
+            let told = self.told.notified();
+            if let Some(why) = self.why.get() {
+                return why;
+            }
+            told.await;
+        }
+    }
+}
+
 impl Drop for Exchange {
     fn drop(&mut self) {
         self.held.give_back(self.own_bytes);
--- a/crates/daemon/src/executors.rs
+++ b/crates/daemon/src/executors.rs
@@ -2,7 +2,7 @@
 //! tells it what came of it; what it may give a client goes into the exchange.
 use crate::clock::Clock;
 use crate::driver::Event;
-use crate::exchange::{Answer, Exchange};
+use crate::exchange::{Answer, Exchange, Stop};
 use crate::http1::{AnswerHead, Connection, Failed};
 use crate::limits::Limits;
 use crate::words::{self, Told, Vocabulary};
@@ -13,7 +13,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpStream;
-use tokio::sync::{Notify, mpsc, oneshot};
+use tokio::sync::{Notify, mpsc};
 use tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at};
 use troutknot::{AllocId, ExecutorId, Outcome, Reading};
 
@@ -76,6 +76,7 @@
     pub alloc: AllocId,
     pub decided: Instant,
     pub cut: Instant,
+    pub stop: Rc<Stop>,
 }
 
 impl Host {
@@ -219,9 +220,9 @@
     }
 
     /// Carries out a push and tells the driver its one outcome.
-    pub async fn allocate(self: Rc<Self>, push: Push, mut stop: oneshot::Receiver<Outcome>) {
+    pub async fn allocate(self: Rc<Self>, push: Push) {
         let host = self.host(push.executor);
-        let (outcome, rest) = self.run(&host, &push, &mut stop).await;
+        let (outcome, rest) = self.run(&host, &push).await;
         let (wu, alloc) = (push.exchange.wu, push.alloc);
         let _ = self.events.send(Event::Ended { wu, alloc, outcome }).await;
         if let Some((mut connection, mut head)) = rest {
@@ -234,19 +235,14 @@
     }
 
     /// The outcome, and the connection where its answer may still be read to the end.
-    async fn run(
-        &self,
-        host: &Host,
-        push: &Push,
-        stop: &mut oneshot::Receiver<Outcome>,
-    ) -> (Outcome, Option<(Counted, AnswerHead)>) {
+    async fn run(&self, host: &Host, push: &Push) -> (Outcome, Option<(Counted, AnswerHead)>) {
         let exchange = &push.exchange;
         let most = self.limits.executors - (self.limits.executors / 16).max(1);
         // Guards against a send that was decided long before: while it connects, the grace of its executor
         // may end, its cut may come, its work unit may be over.
         let connection = tokio::select! {
             biased;
-            Ok(_) = &mut *stop => Err(Outcome::NotSent),
+            _ = push.stop.told() => Err(Outcome::NotSent),
             () = exchange.over() => Err(Outcome::NotSent),
             () = host.shut() => Err(Outcome::NotSent),
             () = sleep_until(push.cut) => Err(Outcome::NoConnection),
@@ -270,7 +266,7 @@
         let written = tokio::select! {
             biased;
             written = connection.write(&parts) => written.is_ok(),
-            Ok(_) = &mut *stop => false,
+            _ = push.stop.told() => false,
             () = sleep_until(push.cut) => false,
         };
         if !written {
@@ -280,7 +276,7 @@
         let read = tokio::select! {
             biased;
             read = self.read(&mut connection, push) => read,
-            Ok(why) = &mut *stop => Ok((why, None)),
+            why = push.stop.told() => Ok((why, None)),
             () = sleep_until(push.cut) => Ok((Outcome::TimedOut, None)),
         };
         match read {
@@ -447,9 +443,15 @@
             let (exchange, now) = (exchange(), Instant::now());
             let cut = now + Duration::from_millis(if by == CutCame { 50 } else { 60_000 });
             let decided = if by == NodeStoodStill { now - Duration::from_secs(6) } else { now };
-            let push =
-                Push { exchange: exchange.clone(), executor: EXECUTOR, alloc: AllocId(0), decided, cut };
-            let (stop, stopped) = oneshot::channel();
+            let stop = Rc::new(Stop::default());
+            let push = Push {
+                exchange: exchange.clone(),
+                executor: EXECUTOR,
+                alloc: AllocId(0),
+                decided,
+                cut,
+                stop: stop.clone(),
+            };
             let overtake = async {
                 if hangs {
                     // It hangs in its connection by now: nothing came of it.
@@ -459,12 +461,12 @@
                 match by {
                     WorkUnitOver => _ = exchange.close(),
                     GraceEnded => executors.shut(EXECUTOR),
-                    Stopped => stop.send(Outcome::Cancelled).unwrap(),
+                    Stopped => stop.tell(Outcome::Cancelled),
                     _ => {}
                 }
                 told.recv().await
             };
-            let both = async { tokio::join!(overtake, executors.clone().allocate(push, stopped)).0 };
+            let both = async { tokio::join!(overtake, executors.clone().allocate(push)).0 };
             let event = local.run_until(timeout(Duration::from_secs(4), both)).await.unwrap();
             assert!(matches!(event, Some(Event::Ended { outcome, .. }) if outcome == expected), "{by:?}");
             if !hangs {
--- a/crates/daemon/src/limits.rs
+++ b/crates/daemon/src/limits.rs
@@ -64,8 +64,8 @@
         let sockets = stated.sockets.clamp(64, 1 << 20) - SPARE;
         let memory = stated.memory_mb.clamp(16, 1 << 20) as usize * 1024 * 1024;
         let ring = 16 * 1024;
-        // A quarter of the memory for rings, two for each connection; a quarter for what is held.
-        let connections = (sockets as usize).min(memory / 4 / (2 * ring));
+        // A sixth of the memory for rings, two for each connection; a quarter for what is held.
+        let connections = (sockets as usize).min(memory / 6 / (2 * ring));
         let turned_away = (connections / 16).max(2);
         let executors = (connections - turned_away) * 9 / 20;
         let clients = connections - turned_away - executors;
@@ -109,7 +109,7 @@
         let l = Limits::of(&stated);
         let connections = l.clients + l.turned_away + l.executors;
         assert!(connections as u64 + SPARE <= sockets.max(64), "{l:?}");
-        let held = connections * 2 * l.ring + l.held_bytes + l.executors * l.body + l.list_line;
+        let held = connections * 2 * l.ring + l.held_bytes + 2 * l.executors * l.body + l.list_line;
         assert!(held <= memory_mb.max(16) as usize * 1024 * 1024 * 9 / 10, "{held} {l:?}");
         assert!(l.clients > 0 && l.turned_away > 0 && l.executors > 0);
     }
