A full node makes room among idle connections; tests of dead, silent and leaving machines

Found by reading: at the hard limit of connections the accept loop only waited for one to end, so that a few clients that had been told the node is full and then stood idle for two minutes could keep all others out (clients.rs, accept and serve). They now stand idle for a second at most, and idle ones are closed there as well.

--- a/crates/daemon/src/clients.rs
+++ b/crates/daemon/src/clients.rs
@@ -78,7 +78,8 @@
     pub async fn accept(self: Rc<Self>, listener: TcpListener) {
         loop {
             if self.connections() >= self.limits.clients + self.limits.turned_away {
-                self.ended.notified().await;
+                let _ = timeout(self.limits.client_settle, self.ended.notified()).await;
+                self.close_longest_idle();
                 continue;
             }
             match listener.accept().await {
@@ -120,6 +121,7 @@
 
     async fn serve(&self, connection: &mut Connection, standing: &Standing, full: bool) {
         let mut stage = self.stage.clone();
+        let most_idle = if full { self.limits.client_settle } else { self.limits.client_idle };
         loop {
             if !connection.has_input() {
                 connection.rest();
@@ -129,7 +131,7 @@
                     more = connection.read() => matches!(more, Ok(n) if n > 0),
                     () = standing.close.notified() => !connection.quiet(),
                     _ = stage.wait_for(|stage| *stage == Stage::Closing) => !connection.quiet(),
-                    () = sleep(self.limits.client_idle) => false,
+                    () = sleep(most_idle) => false,
                 };
                 standing.idle_since.set(None);
                 if !more {
@@ -139,9 +141,9 @@
             let goes = match timeout(self.limits.client_wait, connection.request_head()).await {
                 Ok(Ok(Some(head))) => self.request(connection, head, full).await,
                 Ok(Ok(None)) => false,
-                Ok(Err(Failed::Bad(bad))) => self.refuse(connection, bad.status()).await,
+                Ok(Err(Failed::Bad(bad))) => self.reject(connection, bad.status()).await,
                 Ok(Err(_)) => false,
-                Err(_) => self.refuse(connection, 408).await,
+                Err(_) => self.reject(connection, 408).await,
             };
             if !goes {
                 return;
@@ -150,7 +152,7 @@
     }
 
     /// Says what is wrong and ends the connection, for what may still come cannot be told apart.
-    async fn refuse(&self, connection: &mut Connection, status: u16) -> Goes {
+    async fn reject(&self, connection: &mut Connection, status: u16) -> Goes {
         tracing::debug!("request answered {status}");
         if self.write(connection, status, false, &[], &Bytes::new()).await {
             connection.end(self.limits.tail_wait).await;
@@ -181,7 +183,7 @@
             Ok(read) => read,
             Err((status, why)) => {
                 tracing::debug!("not taken: {why}");
-                return self.refuse(connection, status).await;
+                return self.reject(connection, status).await;
             }
         };
         if head.asks_first && head.body != http1::Body::Done {
@@ -194,16 +196,16 @@
         let whole = connection.body(&mut head.body, &mut body, self.limits.body, false);
         match timeout(self.limits.client_wait, whole).await {
             Ok(Ok(_)) => {}
-            Ok(Err(Failed::Bad(bad))) => return self.refuse(connection, bad.status()).await,
+            Ok(Err(Failed::Bad(bad))) => return self.reject(connection, bad.status()).await,
             Ok(Err(_)) => return false,
-            Err(_) => return self.refuse(connection, 408).await,
+            Err(_) => return self.reject(connection, 408).await,
         }
         let taken = Instant::now();
         work.body = body.freeze();
         let id = work.id.clone();
         if self.ids.borrow().contains(&id) {
             // Guards against a second copy: this very work unit is open, so a repeat promises nothing.
-            return self.refuse(connection, 409).await;
+            return self.reject(connection, 409).await;
         }
         let part = |margin: Duration, part: f64| left - margin.min(left.mul_f64(part));
         let limit = taken + part(self.limits.answer_margin, 0.2);
--- a/crates/daemon/src/executors.rs
+++ b/crates/daemon/src/executors.rs
@@ -5,7 +5,7 @@
 use crate::exchange::{Answer, Exchange, Stop};
 use crate::http1::{AnswerHead, Connection, Failed};
 use crate::limits::Limits;
-use crate::words::{self, Told, Vocabulary};
+use crate::words::{self, Heard, Vocabulary};
 use bytes::BytesMut;
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
@@ -312,17 +312,17 @@
                     Failed::Ended
                 })?;
                 match told {
-                    Told::Started => {
+                    Heard::Started => {
                         let _ = self.events.try_send(Event::Started { wu, alloc });
                     }
-                    Told::Progress(share) => {
+                    Heard::Progress(share) => {
                         let _ = self.events.try_send(Event::Progress { wu, alloc, share });
                     }
-                    Told::Result(result) => {
+                    Heard::Result(result) => {
                         exchange.answer(Answer::Completed(result));
                         return Ok((Outcome::Completed, Some(head)));
                     }
-                    Told::Ended(outcome) => return Ok((outcome, Some(head))),
+                    Heard::Ended(outcome) => return Ok((outcome, Some(head))),
                 }
             }
             if ended {
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -30,18 +30,18 @@
 
 /// What a node is told at its start.
 #[derive(Deserialize)]
-struct Told {
+struct Briefing {
     name: String,
     listen: SocketAddr,
     discovery: SocketAddr,
     seed: String,
-    limits: ToldLimits,
+    limits: BriefedLimits,
     known: Option<words::List>,
     settings: serde_json::Map<String, serde_json::Value>,
 }
 
 #[derive(Deserialize)]
-struct ToldLimits {
+struct BriefedLimits {
     memory_mb: u64,
     sockets: u64,
 }
@@ -64,13 +64,13 @@
 fn start() -> Result<(), String> {
     let path = std::env::var("ROUTER_CONFIG").map_err(|_| "ROUTER_CONFIG is not set")?;
     let text = std::fs::read_to_string(&path).map_err(|e| format!("cannot read `{path}`: {e}"))?;
-    let told: Told = serde_json::from_str(&text).map_err(|e| format!("`{path}`: {e}"))?;
+    let told: Briefing = serde_json::from_str(&text).map_err(|e| format!("`{path}`: {e}"))?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(|e| format!("no runtime: {e}"))?;
     LocalSet::new().block_on(&runtime, run(told))
 }
 
-async fn run(told: Told) -> Result<(), String> {
+async fn run(told: Briefing) -> Result<(), String> {
     let seed = u64::from_str_radix(&told.seed, 16).map_err(|_| format!("odd seed `{}`", told.seed))?;
     let values = named_values(&told.settings)?;
     let words = Rc::new(words::Vocabulary::of(&told.settings, &values)?);
--- a/crates/daemon/src/words.rs
+++ b/crates/daemon/src/words.rs
@@ -238,7 +238,7 @@
 
 /// One line that an executor tells of an allocation.
 #[derive(Debug, PartialEq)]
-pub enum Told {
+pub enum Heard {
     Started,
     Progress(f64),
     Result(Bytes),
@@ -246,7 +246,7 @@
 }
 
 /// Reads such a line; an error says why it is none, or is of another work unit.
-pub fn line(bytes: &[u8], id: &str) -> Result<Told, String> {
+pub fn line(bytes: &[u8], id: &str) -> Result<Heard, String> {
     #[derive(Deserialize)]
     struct Line<'a> {
         id: Option<String>,
@@ -260,16 +260,16 @@
         return Err("the line is of another work unit".into());
     }
     match line.state.as_str() {
-        "started" => Ok(Told::Started),
-        "running" => Ok(Told::Progress(line.share.unwrap_or(0.0))),
+        "started" => Ok(Heard::Started),
+        "running" => Ok(Heard::Progress(line.share.unwrap_or(0.0))),
         "done" => {
             let raw = line.result.ok_or("a result is missing")?.get();
             let text = serde_json::from_str::<String>(raw).unwrap_or_else(|_| raw.to_string());
-            Ok(Told::Result(text.into()))
+            Ok(Heard::Result(text.into()))
         }
-        "failed" => Ok(Told::Ended(Outcome::Error)),
-        "returned" => Ok(Told::Ended(Outcome::Full)),
-        "lost" => Ok(Told::Ended(Outcome::Reset)),
+        "failed" => Ok(Heard::Ended(Outcome::Error)),
+        "returned" => Ok(Heard::Ended(Outcome::Full)),
+        "lost" => Ok(Heard::Ended(Outcome::Reset)),
         other => Err(format!("unknown state `{other}`")),
     }
 }
@@ -302,15 +302,15 @@
 fn lines_of_executors_and_what_they_prove() {
     let of = |text: &str| line(text.as_bytes(), "a1");
     for (text, expected) in [
-        (r#"{"id":"a1","from":"s","state":"started"}"#, Some(Told::Started)),
-        (r#"{"id":"a1","state":"running","share":0.4}"#, Some(Told::Progress(0.4))),
-        (r#"{"id":"a1","state":"done","result":"x\n"}"#, Some(Told::Result("x\n".into()))),
-        (r#"{"state":"done","result":{"n": 1}}"#, Some(Told::Result("{\"n\": 1}".into()))),
+        (r#"{"id":"a1","from":"s","state":"started"}"#, Some(Heard::Started)),
+        (r#"{"id":"a1","state":"running","share":0.4}"#, Some(Heard::Progress(0.4))),
+        (r#"{"id":"a1","state":"done","result":"x\n"}"#, Some(Heard::Result("x\n".into()))),
+        (r#"{"state":"done","result":{"n": 1}}"#, Some(Heard::Result("{\"n\": 1}".into()))),
         (r#"{"id":"a1","state":"done"}"#, None),
         (r#"{"id":"b2","state":"done","result":"x"}"#, None),
-        (r#"{"id":"a1","state":"failed","load":{"queue":1}}"#, Some(Told::Ended(Outcome::Error))),
-        (r#"{"id":"a1","state":"returned"}"#, Some(Told::Ended(Outcome::Full))),
-        (r#"{"id":"a1","state":"lost"}"#, Some(Told::Ended(Outcome::Reset))),
+        (r#"{"id":"a1","state":"failed","load":{"queue":1}}"#, Some(Heard::Ended(Outcome::Error))),
+        (r#"{"id":"a1","state":"returned"}"#, Some(Heard::Ended(Outcome::Full))),
+        (r#"{"id":"a1","state":"lost"}"#, Some(Heard::Ended(Outcome::Reset))),
         (r#"{"id":"a1","state":"paused"}"#, None),
         ("done", None),
     ] {
--- a/crates/daemon/tests/node.rs
+++ b/crates/daemon/tests/node.rs
@@ -4,7 +4,7 @@
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::mpsc::{self, Receiver, Sender};
 use std::sync::{Arc, Mutex};
 use std::thread;
@@ -23,12 +23,15 @@
     TurnedAway,
     Returned,
     Lost,
+    /// Done, and the connection ends without a word.
+    DoneAndEnd,
     Break,
     Silent,
     Garbage,
     OtherId,
-    /// Done once the test says so.
+    /// Done, or lost, once the test says so.
     Wait,
+    WaitAndLose,
 }
 
 /// A message as it came: head and body.
@@ -70,6 +73,8 @@
     acts: Arc<Mutex<VecDeque<Act>>>,
     seen: Arc<Mutex<Vec<Message>>>,
     go_on: Sender<()>,
+    /// Cut off: connections come up and stay open, and nothing is ever said.
+    mute: Arc<AtomicBool>,
 }
 
 impl Executor {
@@ -79,14 +84,16 @@
         let (acts, seen) = (Arc::new(Mutex::default()), Arc::new(Mutex::default()));
         let (go_on, wait) = mpsc::channel();
         let wait = Arc::new(Mutex::new(wait));
-        let (own_acts, own_seen) = (acts.clone(), seen.clone());
+        let mute = Arc::new(AtomicBool::new(false));
+        let (own_acts, own_seen, own_mute) = (acts.clone(), seen.clone(), mute.clone());
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
                 let (acts, seen, wait) = (own_acts.clone(), own_seen.clone(), wait.clone());
-                thread::spawn(move || serve_executor(stream, &acts, &seen, &wait));
+                let mute = own_mute.clone();
+                thread::spawn(move || serve_executor(stream, &acts, &seen, &wait, &mute));
             }
         });
-        Executor { addr, acts, seen, go_on }
+        Executor { addr, acts, seen, go_on, mute }
     }
 
     /// Waits until so many allocations have come.
@@ -104,10 +111,14 @@
     acts: &Mutex<VecDeque<Act>>,
     seen: &Mutex<Vec<Message>>,
     wait: &Mutex<Receiver<()>>,
+    mute: &AtomicBool,
 ) -> Option<()> {
     let mut input = BufReader::new(stream.try_clone().unwrap());
     loop {
         let (head, body) = message(&mut input)?;
+        if mute.load(Ordering::Relaxed) {
+            continue;
+        }
         if head.starts_with("GET /_load") {
             stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 12\r\n\r\nqueue=0,x0=8").ok()?;
             continue;
@@ -132,6 +143,10 @@
             Act::TurnedAway => "HTTP/1.1 503 Full\r\nNot-Started: 1\r\nContent-Length: 0\r\n\r\n".into(),
             Act::Returned => lines(&[json!({"id": id, "state": "returned"})]),
             Act::Lost => lines(&[started, json!({"id": id, "state": "lost"})]),
+            Act::DoneAndEnd => {
+                stream.write_all(lines(&[done(id, 3)]).as_bytes()).ok()?;
+                return None;
+            }
             Act::Break => return None,
             Act::Silent => {
                 // Until the node gives up and closes.
@@ -144,6 +159,10 @@
                 wait.lock().unwrap().recv().ok()?;
                 lines(&[done(id, 3)])
             }
+            Act::WaitAndLose => {
+                wait.lock().unwrap().recv().ok()?;
+                lines(&[json!({"id": id, "state": "lost"})])
+            }
         };
         stream.write_all(answer.as_bytes()).ok()?;
     }
@@ -425,6 +444,58 @@
     assert_eq!(used(20), (20, 0), "who is missing from a whole list is gone");
 }
 
+#[test]
+fn executors_that_cannot_be_reached_cost_no_effect_and_no_answer() {
+    let (one, two) = (Executor::start(), Executor::start());
+    let nowhere = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let mut dead = entry("s-2", &two, "Ready");
+    dead["addr"] = json!(nowhere.to_string());
+    let both = list(7, true, &[entry("s-1", &one, "Ready"), entry("s-2", &two, "Ready")]);
+    let discovery = Discovery::start(both);
+    let node = Node::start(&discovery, 256);
+    let mut connection = node.connect();
+    let mut id = 0;
+    let mut publish = |times: usize| {
+        for _ in 0..times {
+            id += 1;
+            assert_eq!(ask(&mut connection, work("publish", &id.to_string(), 3.0, "")).0, 200);
+        }
+    };
+    one.acts.lock().unwrap().extend([Act::DoneAndEnd; 10]);
+    two.acts.lock().unwrap().extend([Act::DoneAndEnd; 10]);
+    // A pooled connection that has ended is not written to.
+    publish(20);
+    two.mute.store(true, Ordering::Relaxed);
+    let before = one.seen.lock().unwrap().len();
+    publish(10);
+    assert_eq!(one.seen.lock().unwrap().len(), before + 10, "nothing goes to a silent machine");
+    discovery.lines.send(list(8, true, &[dead.clone()])).unwrap();
+    // Nothing ever ran, so even exclusive work is deferred, and in time.
+    while node.ask(work("publish", "gone", 3.0, "")).0 != 503 {}
+    discovery.lines.send(list(9, true, &[entry("s-1", &one, "Ready"), dead])).unwrap();
+    while node.ask(work("publish", "back", 3.0, "")).0 != 200 {}
+}
+
+#[test]
+fn clients_that_leave_are_withdrawn_and_nothing_is_sent_for_them_after() {
+    let (executor, discovery) = one_executor();
+    let mut node = Node::start(&discovery, 256);
+    // The first act loses the work unit once the client has left: it would be sent again for one that waits.
+    executor.acts.lock().unwrap().extend([Act::WaitAndLose]);
+    let mut leaves = node.connect();
+    leaves.get_mut().write_all(work("render", "1", 30.0, "").as_bytes()).unwrap();
+    executor.wait_for(1);
+    drop(leaves);
+    // Its id is free again once the node has seen that.
+    while node.ask(work("render", "1", 30.0, "")).0 == 409 {}
+    let before = executor.seen.lock().unwrap().len();
+    executor.go_on.send(()).unwrap();
+    assert_eq!(node.ask(work("render", "2", 30.0, "")).0, 200);
+    node.terminate();
+    assert!(node.process.wait().unwrap().success());
+    assert_eq!(executor.seen.lock().unwrap().len(), before + 1);
+}
+
 #[test]
 fn asked_to_end_it_answers_what_is_taken_and_what_still_comes() {
     let (executor, discovery) = one_executor();
