--- a/crates/daemon/src/driver.rs
+++ b/crates/daemon/src/driver.rs
@@ -8,7 +8,7 @@
 use std::rc::Rc;
 use tokio::sync::{Notify, mpsc, watch};
 use tokio::time::{Instant, sleep_until};
-use troutknot::*;
+use troutknot::{Event as Heard, *};
 use troutknot_hosting::Numbers;
 
 /// So many events at most are told before the actions that follow from them are taken.
@@ -21,30 +21,9 @@
 pub enum Event {
     Arrived(Rc<Exchange>),
     Left(WuId),
-    Started {
-        wu: WuId,
-        alloc: AllocId,
-    },
-    Progress {
-        wu: WuId,
-        alloc: AllocId,
-        share: f64,
-    },
-    Ended {
-        wu: WuId,
-        alloc: AllocId,
-        outcome: Outcome,
-    },
-    /// No reading says that there was no answer.
-    Probed {
-        executor: ExecutorId,
-        lag: Millis,
-        reading: Option<Reading>,
-    },
+    /// What the dispatcher may be told as it is; whether an end closes the work unit is found here.
+    Heard(Heard),
     List(ListKind, Vec<Entry>),
-    ListLost,
-    /// The time that the dispatcher asked for has come.
-    Woken,
     /// The node ends soon: what is out is cut, and nothing more is sent.
     OutOfTime,
     /// The node ends now: what is open gets its last answer.
@@ -59,13 +38,13 @@
 }
 
 pub struct Driver {
-    pub dispatcher: Dispatcher,
-    pub clock: Clock,
-    pub words: Rc<Vocabulary>,
-    pub executors: Rc<Executors>,
-    pub follow: Rc<Notify>,
-    pub numbers: Numbers,
-    pub events: mpsc::Receiver<Event>,
+    dispatcher: Dispatcher,
+    clock: Clock,
+    words: Rc<Vocabulary>,
+    executors: Rc<Executors>,
+    follow: Rc<Notify>,
+    numbers: Numbers,
+    events: mpsc::Receiver<Event>,
     pub stage: Rc<watch::Sender<Stage>>,
     open: BTreeMap<WuId, Open>,
     /// Who is listed, to see who is missing from a whole list.
@@ -111,7 +90,7 @@
                 event = self.events.recv() => event,
                 () = async { sleep_until(wake.unwrap_or_else(Instant::now)).await }, if wake.is_some() => {
                     self.wake = None;
-                    Some(Event::Woken)
+                    Some(Event::Heard(Heard::TimerFired))
                 }
             };
             if self.clock.now() - looked > self.standstill {
@@ -140,7 +119,6 @@
     }
 
     pub fn tell(&mut self, now: Millis, event: Event) {
-        use troutknot::Event as Told;
         let told = match event {
             Event::Arrived(exchange) => {
                 if exchange.is_over() {
@@ -148,7 +126,7 @@
                 }
                 let work = &exchange.work;
                 let left = exchange.limit.saturating_duration_since(Instant::now()).as_secs_f64() * 1000.0;
-                let told = Told::Arrived {
+                let told = Heard::Arrived {
                     wu: exchange.wu,
                     project_type: work.project_type,
                     customer: work.customer,
@@ -162,24 +140,17 @@
             }
             Event::Left(wu) => {
                 self.open.remove(&wu);
-                Told::Withdrawn { wu }
+                Heard::Withdrawn { wu }
             }
-            Event::Started { wu, alloc } => Told::Started { wu, alloc },
-            Event::Progress { wu, alloc, share } => Told::Progress { wu, alloc, share },
-            Event::Ended { wu, alloc, outcome } => {
-                let over = self.open.get(&wu).is_none_or(|open| open.exchange.is_over());
-                if over {
+            Event::Heard(Heard::Ended { wu, alloc, outcome, .. }) => {
+                let closed = self.open.get(&wu).is_none_or(|open| open.exchange.is_over());
+                if closed {
                     self.open.remove(&wu);
                 }
-                Told::Ended { wu, alloc, outcome, closed: over }
-            }
-            Event::Probed { executor, lag, reading } => {
-                let answered = reading.is_some();
-                Told::Probed { executor, answered, lag, reading: reading.unwrap_or_default() }
+                Heard::Ended { wu, alloc, outcome, closed }
             }
+            Event::Heard(heard) => heard,
             Event::List(kind, entries) => self.list(kind, entries),
-            Event::ListLost => Told::ListLost,
-            Event::Woken => Told::TimerFired,
             Event::OutOfTime => {
                 self.out_of_time = true;
                 self.open.values().for_each(|open| open.stop.tell(Outcome::TimedOut));
@@ -188,7 +159,7 @@
             Event::End => {
                 for (wu, open) in std::mem::take(&mut self.open) {
                     open.exchange.answer(Answer::Aborted);
-                    self.dispatcher.tell(now, Told::Withdrawn { wu });
+                    self.dispatcher.tell(now, Heard::Withdrawn { wu });
                 }
                 return;
             }
@@ -196,7 +167,7 @@
         self.dispatcher.tell(now, told);
     }
 
-    fn list(&mut self, kind: ListKind, entries: Vec<Entry>) -> troutknot::Event {
+    fn list(&mut self, kind: ListKind, entries: Vec<Entry>) -> Heard {
         let mut told = Vec::with_capacity(entries.len());
         let mut missing = if kind == ListKind::Changes { BTreeSet::new() } else { self.listed.clone() };
         for entry in &entries {
@@ -218,7 +189,7 @@
         if kind != ListKind::Saved && *self.stage.borrow() == Stage::Starting {
             self.stage.send_replace(Stage::Serving);
         }
-        troutknot::Event::ListTold { kind, entries: told }
+        Heard::ListTold { kind, entries: told }
     }
 
     fn act(&mut self, action: Action) {
--- a/crates/daemon/src/executors.rs
+++ b/crates/daemon/src/executors.rs
@@ -5,7 +5,7 @@
 use crate::exchange::{Answer, Exchange, Stop};
 use crate::http1::{AnswerHead, Connection, Failed};
 use crate::limits::Limits;
-use crate::words::{self, Heard, Vocabulary};
+use crate::words::{self, Line, Vocabulary};
 use bytes::BytesMut;
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
@@ -15,7 +15,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::{Notify, mpsc};
 use tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at};
-use troutknot::{AllocId, ExecutorId, Outcome, Reading};
+use troutknot::{AllocId, Event as Heard, ExecutorId, Outcome, Reading};
 
 pub struct Executors {
     pub limits: Rc<Limits>,
@@ -224,7 +224,9 @@
         let host = self.host(push.executor);
         let (outcome, rest) = self.run(&host, &push).await;
         let (wu, alloc) = (push.exchange.wu, push.alloc);
-        let _ = self.events.send(Event::Ended { wu, alloc, outcome }).await;
+        // Whether that closes the work unit is the driver's to say.
+        let ended = Heard::Ended { wu, alloc, outcome, closed: false };
+        let _ = self.events.send(Event::Heard(ended)).await;
         if let Some((mut connection, mut head)) = rest {
             let (mut scrap, most) = (BytesMut::new(), self.limits.body);
             let end = connection.body(&mut head.body, &mut scrap, most, false);
@@ -312,17 +314,17 @@
                     Failed::Ended
                 })?;
                 match told {
-                    Heard::Started => {
-                        let _ = self.events.try_send(Event::Started { wu, alloc });
+                    Line::Started => {
+                        let _ = self.events.try_send(Event::Heard(Heard::Started { wu, alloc }));
                     }
-                    Heard::Progress(share) => {
-                        let _ = self.events.try_send(Event::Progress { wu, alloc, share });
+                    Line::Progress(share) => {
+                        let _ = self.events.try_send(Event::Heard(Heard::Progress { wu, alloc, share }));
                     }
-                    Heard::Result(result) => {
+                    Line::Result(result) => {
                         exchange.answer(Answer::Completed(result));
                         return Ok((Outcome::Completed, Some(head)));
                     }
-                    Heard::Ended(outcome) => return Ok((outcome, Some(head))),
+                    Line::Ended(outcome) => return Ok((outcome, Some(head))),
                 }
             }
             if ended {
@@ -344,7 +346,9 @@
         let late = lag > self.limits.probe_wait + self.limits.standstill;
         let reading = answer.ok().flatten().filter(|_| !late);
         let lag = lag.as_secs_f64() * 1000.0;
-        let _ = self.events.send(Event::Probed { executor, lag, reading }).await;
+        let (answered, reading) = (reading.is_some(), reading.unwrap_or_default());
+        let probed = Heard::Probed { executor, answered, lag, reading };
+        let _ = self.events.send(Event::Heard(probed)).await;
     }
 
     async fn ask(&self, host: &Host) -> Option<Reading> {
@@ -468,7 +472,10 @@
             };
             let both = async { tokio::join!(overtake, executors.clone().allocate(push)).0 };
             let event = local.run_until(timeout(Duration::from_secs(4), both)).await.unwrap();
-            assert!(matches!(event, Some(Event::Ended { outcome, .. }) if outcome == expected), "{by:?}");
+            assert!(
+                matches!(event, Some(Event::Heard(Heard::Ended { outcome, .. })) if outcome == expected),
+                "{by:?}"
+            );
             if !hangs {
                 let (stream, _) = listener.accept().unwrap();
                 let mut one = [std::mem::MaybeUninit::uninit()];
--- a/crates/daemon/src/limits.rs
+++ b/crates/daemon/src/limits.rs
@@ -57,7 +57,7 @@
 }
 
 /// Descriptors kept free for the log, the runtime, discovery and probes.
-const SPARE: u64 = 40;
+const SPARE: u64 = 24;
 
 impl Limits {
     pub fn of(stated: &Stated) -> Self {
--- a/crates/daemon/src/list.rs
+++ b/crates/daemon/src/list.rs
@@ -60,7 +60,7 @@
                 Err(why) => why,
             };
             tracing::warn!("watch of the list broke off: {why}");
-            if self.events.send(Event::ListLost).await.is_err() {
+            if self.events.send(Event::Heard(troutknot::Event::ListLost)).await.is_err() {
                 return;
             }
         }
--- a/crates/daemon/src/words.rs
+++ b/crates/daemon/src/words.rs
@@ -238,7 +238,7 @@
 
 /// One line that an executor tells of an allocation.
 #[derive(Debug, PartialEq)]
-pub enum Heard {
+pub enum Line {
     Started,
     Progress(f64),
     Result(Bytes),
@@ -246,30 +246,30 @@
 }
 
 /// Reads such a line; an error says why it is none, or is of another work unit.
-pub fn line(bytes: &[u8], id: &str) -> Result<Heard, String> {
+pub fn line(bytes: &[u8], id: &str) -> Result<Line, String> {
     #[derive(Deserialize)]
-    struct Line<'a> {
+    struct Fields<'a> {
         id: Option<String>,
         state: String,
         share: Option<f64>,
         #[serde(borrow)]
         result: Option<&'a RawValue>,
     }
-    let line: Line = serde_json::from_slice(bytes).map_err(|e| e.to_string())?;
+    let line: Fields = serde_json::from_slice(bytes).map_err(|e| e.to_string())?;
     if line.id.is_some_and(|said| said != id) {
         return Err("the line is of another work unit".into());
     }
     match line.state.as_str() {
-        "started" => Ok(Heard::Started),
-        "running" => Ok(Heard::Progress(line.share.unwrap_or(0.0))),
+        "started" => Ok(Line::Started),
+        "running" => Ok(Line::Progress(line.share.unwrap_or(0.0))),
         "done" => {
             let raw = line.result.ok_or("a result is missing")?.get();
             let text = serde_json::from_str::<String>(raw).unwrap_or_else(|_| raw.to_string());
-            Ok(Heard::Result(text.into()))
+            Ok(Line::Result(text.into()))
         }
-        "failed" => Ok(Heard::Ended(Outcome::Error)),
-        "returned" => Ok(Heard::Ended(Outcome::Full)),
-        "lost" => Ok(Heard::Ended(Outcome::Reset)),
+        "failed" => Ok(Line::Ended(Outcome::Error)),
+        "returned" => Ok(Line::Ended(Outcome::Full)),
+        "lost" => Ok(Line::Ended(Outcome::Reset)),
         other => Err(format!("unknown state `{other}`")),
     }
 }
@@ -302,15 +302,15 @@
 fn lines_of_executors_and_what_they_prove() {
     let of = |text: &str| line(text.as_bytes(), "a1");
     for (text, expected) in [
-        (r#"{"id":"a1","from":"s","state":"started"}"#, Some(Heard::Started)),
-        (r#"{"id":"a1","state":"running","share":0.4}"#, Some(Heard::Progress(0.4))),
-        (r#"{"id":"a1","state":"done","result":"x\n"}"#, Some(Heard::Result("x\n".into()))),
-        (r#"{"state":"done","result":{"n": 1}}"#, Some(Heard::Result("{\"n\": 1}".into()))),
+        (r#"{"id":"a1","from":"s","state":"started"}"#, Some(Line::Started)),
+        (r#"{"id":"a1","state":"running","share":0.4}"#, Some(Line::Progress(0.4))),
+        (r#"{"id":"a1","state":"done","result":"x\n"}"#, Some(Line::Result("x\n".into()))),
+        (r#"{"state":"done","result":{"n": 1}}"#, Some(Line::Result("{\"n\": 1}".into()))),
         (r#"{"id":"a1","state":"done"}"#, None),
         (r#"{"id":"b2","state":"done","result":"x"}"#, None),
-        (r#"{"id":"a1","state":"failed","load":{"queue":1}}"#, Some(Heard::Ended(Outcome::Error))),
-        (r#"{"id":"a1","state":"returned"}"#, Some(Heard::Ended(Outcome::Full))),
-        (r#"{"id":"a1","state":"lost"}"#, Some(Heard::Ended(Outcome::Reset))),
+        (r#"{"id":"a1","state":"failed","load":{"queue":1}}"#, Some(Line::Ended(Outcome::Error))),
+        (r#"{"id":"a1","state":"returned"}"#, Some(Line::Ended(Outcome::Full))),
+        (r#"{"id":"a1","state":"lost"}"#, Some(Line::Ended(Outcome::Reset))),
         (r#"{"id":"a1","state":"paused"}"#, None),
         ("done", None),
     ] {
