Tests that fail, not hang, without what they guard

The one for clients that leave passed late without its guard and the one for the last answer hung; both have a bound now. The readiness with the first word of the list has no test of its own that fails each time, as the order is a matter of chance there.

--- a/crates/daemon/src/clients.rs
+++ b/crates/daemon/src/clients.rs
@@ -299,7 +299,8 @@
                     sleep(Duration::from_millis(10)).await;
                 }
             };
-            local.run_until(serve).await;
+            let whole_test = Duration::from_secs(300);
+            timeout(whole_test, local.run_until(serve)).await.expect("the connection ends");
             let mut got = vec![0; expected.len()];
             client.read_exact(&mut got).unwrap();
             assert_eq!(String::from_utf8(got).unwrap(), expected, "{sent}");
--- a/crates/daemon/tests/node.rs
+++ b/crates/daemon/tests/node.rs
@@ -476,7 +476,10 @@
     executor.wait_for(1);
     drop(leaves);
     // Its id is free again once the node has seen that.
-    while node.ask(work("render", "1", 30.0, "")).0 == 409 {}
+    let end = Instant::now() + Duration::from_secs(10);
+    while node.ask(work("render", "1", 30.0, "")).0 == 409 {
+        assert!(Instant::now() < end, "the node sees that the client left");
+    }
     let before = executor.seen.lock().unwrap().len();
     executor.go_on.send(()).unwrap();
     assert_eq!(node.ask(work("render", "2", 30.0, "")).0, 200);
