A node whose hard limits are short ends without a panic; its times count from the signal

Found by reading end() in main.rs: it took the time to close from the time to cut, which is less where the longest hard limit is under 0.45 s, and a span below zero ends the process. The test of the end now also runs with limits of 200 ms; with the old lines the node exited with an error. Ticks of 20 ms were added up as waited, so a slow machine would have ended late; the times now count from the signal.

--- a/crates/daemon/src/limits.rs
+++ b/crates/daemon/src/limits.rs
@@ -58,6 +58,8 @@
     pub linger: Duration,
     pub cut_after: Duration,
     pub end_after: Duration,
+    /// For the last answers to be written.
+    pub last_words: Duration,
 }
 
 /// Descriptors kept free for the log, the runtime, discovery and probes.
@@ -66,6 +68,8 @@
 /// Log lines that may wait to be written; more are dropped. The log starts before a node is told anything.
 pub const LOG_LINES: usize = 1024;
 
+const MOST_TO_END: Duration = Duration::from_secs(3);
+
 impl Limits {
     pub fn of(stated: &Stated) -> Self {
         let sockets = stated.sockets.clamp(64, 1 << 20) - SPARE;
@@ -104,8 +108,9 @@
             ready_wait: Duration::from_secs(1),
             linger: Duration::from_millis(650),
             // A node that is asked to end has the longest limit, or three seconds, and 700 ms more.
-            cut_after: stated.longest.min(Duration::from_secs(3)) + Duration::from_millis(200),
-            end_after: stated.longest.min(Duration::from_secs(3)) + Duration::from_millis(500),
+            cut_after: stated.longest.min(MOST_TO_END) + Duration::from_millis(200),
+            end_after: stated.longest.min(MOST_TO_END) + Duration::from_millis(500),
+            last_words: Duration::from_millis(100),
         }
     }
 }
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -24,7 +24,7 @@
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{Notify, mpsc, watch};
 use tokio::task::{LocalSet, spawn_local};
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 use tracing_appender::non_blocking::NonBlockingBuilder;
 use troutknot::{Dispatcher, ListKind};
 use troutknot_hosting::named_values;
@@ -170,26 +170,25 @@
 
 /// Answers what is taken and what still comes, closes what is idle, and ends when nothing is left.
 async fn end(limits: &Limits, clients: &Clients, stage: &watch::Sender<Stage>, events: &mpsc::Sender<Event>) {
+    let asked = Instant::now();
     stage.send_replace(Stage::Leaving);
     sleep(limits.linger).await;
     stage.send_replace(Stage::Closing);
+    // Until then after the signal, or until nobody is connected.
     let wait = async |until: Duration| {
-        let tick = Duration::from_millis(20);
-        let mut waited = Duration::ZERO;
-        while clients.connections() > 0 && waited < until {
-            sleep(tick).await;
-            waited += tick;
+        while clients.connections() > 0 && asked.elapsed() < until {
+            sleep(Duration::from_millis(20)).await;
         }
     };
-    wait(limits.cut_after - limits.linger).await;
+    wait(limits.cut_after).await;
     if clients.connections() > 0 {
         let _ = events.send(Event::OutOfTime).await;
-        wait(limits.end_after - limits.cut_after).await;
+        wait(limits.end_after).await;
     }
     let left = clients.connections();
     if left > 0 {
         let _ = events.send(Event::End).await;
-        wait(Duration::from_millis(200)).await;
+        wait(limits.end_after + limits.last_words).await;
     }
     tracing::info!("ended with {left} connections still open");
 }
--- a/crates/daemon/tests/node.rs
+++ b/crates/daemon/tests/node.rs
@@ -235,13 +235,13 @@
 
 impl Node {
     fn start(discovery: &Discovery) -> Self {
-        Node::start_with(discovery, 256, 64, "info")
+        Node::start_with(discovery, (256, 64), settings(), "info")
     }
 
-    fn start_with(discovery: &Discovery, sockets: u64, memory_mb: u64, log: &str) -> Self {
+    fn start_with(discovery: &Discovery, limits: (u64, u64), settings: Value, log: &str) -> Self {
         let config = json!({"name": "n0", "listen": "127.0.0.1:0", "discovery": discovery.addr.to_string(),
-            "seed": "8c1f30d27a5be964", "limits": {"cores": 1.0, "memory_mb": memory_mb, "sockets": sockets},
-            "settings": settings()});
+            "seed": "8c1f30d27a5be964", "limits": {"cores": 1.0, "memory_mb": limits.1, "sockets": limits.0},
+            "settings": settings});
         let mut process = launch(&config.to_string(), log);
         // Few lines are taken from a log that a test does not read; then the pipe fills up.
         let (send, log) = mpsc::sync_channel(64);
@@ -511,20 +511,28 @@
 
 #[test]
 fn what_is_out_when_the_time_to_end_is_over_is_answered_all_the_same() {
-    let (executor, discovery) = one_executor();
-    let mut node = Node::start(&discovery);
-    executor.acts.lock().unwrap().extend([Act::Silent, Act::Silent]);
-    let mut connections = ["render", "publish"].map(|project_type| {
-        let mut connection = node.connect();
-        connection.get_mut().write_all(work(project_type, project_type, 60.0, "").as_bytes()).unwrap();
-        connection
-    });
-    executor.wait_for(2);
-    // The hard limit of both is later than the time that a node has to end.
-    node.terminate();
-    let statuses = connections.each_mut().map(|connection| answer(connection).0);
-    assert_eq!(statuses, [503, 502], "deferred where a retry is harmless, else aborted");
-    assert!(node.process.wait().unwrap().success());
+    // With limits that are longer than a node has to end, and with ones that are over before it closes.
+    for hard_limit in [30_000_000, 200_000] {
+        let (executor, discovery) = one_executor();
+        let mut given = settings();
+        for k in 0..2 {
+            given["project_types"][k]["hard_limit"] = json!(hard_limit);
+        }
+        let mut node = Node::start_with(&discovery, (256, 64), given, "info");
+        executor.acts.lock().unwrap().extend([Act::Silent, Act::Silent]);
+        let mut connections = ["render", "publish"].map(|project_type| {
+            let mut connection = node.connect();
+            connection.get_mut().write_all(work(project_type, project_type, 60.0, "").as_bytes()).unwrap();
+            connection
+        });
+        executor.wait_for(2);
+        let asked = Instant::now();
+        node.terminate();
+        let statuses = connections.each_mut().map(|connection| answer(connection).0);
+        assert_eq!(statuses, [503, 502], "deferred where a retry is harmless, else aborted");
+        assert!(node.process.wait().unwrap().success());
+        assert!(asked.elapsed() < Duration::from_millis(3700), "before it is killed");
+    }
 }
 
 #[test]
@@ -532,7 +540,7 @@
     // Descriptors and megabytes it may have, connections and the size of a body.
     for (sockets, memory_mb, count, size) in [(64, 64, 60, 0), (300, 16, 150, 60_000)] {
         let (executor, discovery) = one_executor();
-        let node = Node::start_with(&discovery, sockets, memory_mb, "info");
+        let node = Node::start_with(&discovery, (sockets, memory_mb), settings(), "info");
         executor.acts.lock().unwrap().extend(vec![Act::Wait; count]);
         let connect_and_send = |k: usize| {
             let connection = node.connect();
@@ -569,7 +577,7 @@
 #[test]
 fn a_log_that_nobody_reads_does_not_stop_the_node() {
     let (_executor, discovery) = one_executor();
-    let node = Node::start_with(&discovery, 256, 64, "debug");
+    let node = Node::start_with(&discovery, (256, 64), settings(), "debug");
     for _ in 0..3000 {
         assert_eq!(node.ask("GET /nowhere HTTP/1.1\r\nHost: n\r\n\r\n").0, 404);
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -14,9 +14,9 @@
 //! assert!(actions.is_empty());
 //! ```
 //!
-//! Room is left, by boundaries alone, for other hosts: the operators' own protocol, IPP, a follower of
-//! Consul's catalogue, and a test and rehearsal kit. Each would be a crate beside `crates/wirehost` that
-//! drives the same [`Dispatcher`].
+//! Two hosts drive it: `crates/daemon`, the real node, and `crates/wirehost`, the simulator's adapter. Room is
+//! left, by boundaries alone, for IPP, a follower of Consul's catalogue, and a test and rehearsal kit; each
+//! would drive the same [`Dispatcher`].
 
 pub mod rules;
 pub mod terms;
