Executors kept in mind are bounded, so that a list that names ever new ones costs no memory

Found by reading for what has no bound: numbers of executors are never given back. One for each 4 KB of memory is kept, 49,152 at 192 MB; new ones past that are left out with a log line, known ones are told as before.

--- a/crates/daemon/src/driver.rs
+++ b/crates/daemon/src/driver.rs
@@ -168,10 +168,13 @@
     }
 
     fn list(&mut self, kind: ListKind, entries: Vec<Entry>) -> Heard {
-        let mut told = Vec::with_capacity(entries.len());
+        let (mut told, mut left_out) = (Vec::with_capacity(entries.len()), 0);
         let mut missing = if kind == ListKind::Changes { BTreeSet::new() } else { self.listed.clone() };
         for entry in &entries {
-            let executor = self.numbers.of(&entry.id);
+            let Some(executor) = self.numbers.of_at_most(&entry.id, self.executors.limits.known) else {
+                left_out += 1;
+                continue;
+            };
             let mut listing = self.words.listing(entry, executor);
             let addr = entry.addr.parse().ok();
             if addr.is_none() && listing.phase == Phase::Healthy {
@@ -183,6 +186,9 @@
             self.listed.insert(executor);
             told.push(listing);
         }
+        if left_out > 0 {
+            tracing::warn!("too many executors were ever listed: {left_out} new ones are left out");
+        }
         for executor in missing {
             self.executors.shut(executor);
         }
--- a/crates/daemon/src/limits.rs
+++ b/crates/daemon/src/limits.rs
@@ -21,12 +21,14 @@
     pub held_bytes: usize,
     /// One line of the list.
     pub list_line: usize,
+    /// Executors that are kept in mind over the node's life.
+    pub known: usize,
     /// Client connections that are served; so many more are accepted only to be told that the node is full.
     pub clients: usize,
     pub turned_away: usize,
-    /// Connections that may wait to be accepted. Guards against bursts: past it, clients try again a second late.
+    /// Connections that may wait to be accepted. Guards against bursts: past it, they come up a second late.
     pub backlog: u32,
-    /// Connections to executors, and those of them that probes may not take.
+    /// Connections to executors; a sixteenth is kept for probes.
     pub executors: usize,
     pub work_units: usize,
     /// Events that may wait for the driver.
@@ -87,6 +89,7 @@
             body: 64 * 1024,
             held_bytes: memory / 4,
             list_line: (memory / 24).min(8 * 1024 * 1024),
+            known: memory / 4096,
             clients,
             turned_away,
             backlog: 1024,
--- a/crates/hosting/src/lib.rs
+++ b/crates/hosting/src/lib.rs
@@ -42,6 +42,18 @@
         ExecutorId(number)
     }
 
+    /// The same where there are at most so many; none for one name more. Numbers are never given back, so
+    /// this guards against a list that names new ones without end.
+    ///
+    /// ```
+    /// let mut numbers = troutknot_hosting::Numbers::default();
+    /// let a = numbers.of_at_most("a", 1);
+    /// assert_eq!((numbers.of_at_most("b", 1), numbers.of_at_most("a", 1)), (None, a));
+    /// ```
+    pub fn of_at_most(&mut self, name: &str, most: usize) -> Option<ExecutorId> {
+        (self.names.len() < most || self.numbers.contains_key(name)).then(|| self.of(name))
+    }
+
     pub fn name(&self, executor: ExecutorId) -> &str {
         &self.names[executor.0 as usize]
     }
