--- a/crates/daemon/src/clients.rs
+++ b/crates/daemon/src/clients.rs
@@ -279,7 +279,8 @@
         let (events, mut told) = mpsc::channel(16);
         let (_stage, staged) = watch::channel(Stage::Serving);
         let clients = Clients::new(limits, words, events, staged);
-        let whole = "POST /render HTTP/1.1\r\nHost: a\r\nRequest-Id: 1\r\nConnection: close\r\nContent-Length: 2\r\n\r\nab";
+        let whole = "POST /render HTTP/1.1\r\nHost: a\r\nRequest-Id: 1\r\nConnection: close\r\n\
+                     Content-Length: 2\r\n\r\nab";
         let local = tokio::task::LocalSet::new();
         for (sent, expected) in [
             ("", ""),
--- a/crates/daemon/tests/node.rs
+++ b/crates/daemon/tests/node.rs
@@ -195,7 +195,8 @@
 }
 
 fn entry(name: &str, executor: &Executor, state: &str) -> Value {
-    json!({"id": name, "addr": executor.addr.to_string(), "zone": "z", "kind": "k", "cell": 0, "state": state})
+    let addr = executor.addr.to_string();
+    json!({"id": name, "addr": addr, "zone": "z", "kind": "k", "cell": 0, "state": state})
 }
 
 fn list(version: u64, full: bool, entries: &[Value]) -> String {
@@ -208,7 +209,8 @@
             "promised_turnaround": 500_000, "credit": 1.0, "window": 1_000_000})
     };
     json!({"balancers": 1, "me": 0, "zone": 0, "failure_domains": ["z"], "kinds": ["k"],
-        "limits": {"max_allocations": 3, "connect_timeout": 250_000, "conn_idle": 5_000_000, "retry_after": true},
+        "limits": {"max_allocations": 3, "connect_timeout": 250_000, "conn_idle": 5_000_000,
+            "retry_after": true},
         "contract": {"drain_grace": 500_000}, "load_info": {"fields": ["depth", "x0"], "source": "pull"},
         "project_types": [of("render", "safe"), of("publish", "unsafe")]})
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -14,8 +14,8 @@
 //! assert!(actions.is_empty());
 //! ```
 //!
-//! Two hosts drive it: `crates/daemon`, the real node, and `crates/wirehost`, the simulator's adapter. Room is
-//! left, by boundaries alone, for IPP, a follower of Consul's catalogue, and a test and rehearsal kit; each
+//! Two hosts drive it: `crates/daemon`, the real node, and `crates/wirehost`, the simulator's adapter. Room
+//! is left, by boundaries alone, for IPP, a follower of Consul's catalogue, and a test and rehearsal kit; each
 //! would drive the same [`Dispatcher`].
 
 pub mod rules;
