Read through: bounds that leave no worst case over the memory; state that could be derived is gone

Seen on a reading of the whole change. Bodies on their way in and executors kept in mind were in no sum of the memory; the test of the limits now counts both, and what is held and kept in mind takes less (limits.rs). Times that stand in for settings that are not given were the figures of one deployment; they are our own now. Gone, as they follow from the rest: the limit of open work units, the set of who is listed, the follower's version, the driver's copy of a time, a clock that the executor side only carried. Loops of the socket tests have one bound.

--- a/crates/daemon/src/clients.rs
+++ b/crates/daemon/src/clients.rs
@@ -15,7 +15,7 @@
 use troutknot::WuId;
 
 /// How far the node is on its way out.
-#[derive(Clone, Copy, PartialEq, PartialOrd, Debug)]
+#[derive(Clone, Copy, PartialEq, Debug)]
 pub enum Stage {
     Starting,
     Serving,
@@ -187,7 +187,7 @@
             }
         };
         if head.asks_first && head.body != http1::Body::Done {
-            let welcome = connection.write(&[b"HTTP/1.1 100 Continue\r\n\r\n"]);
+            let welcome = connection.write(&[http1::GO_ON]);
             if !matches!(timeout(self.limits.client_wait, welcome).await, Ok(Ok(()))) {
                 return false;
             }
@@ -210,9 +210,8 @@
         let part = |margin: Duration, part: f64| left - margin.min(left.mul_f64(part));
         let limit = taken + part(self.limits.answer_margin, 0.2);
         let last = taken + part(self.limits.last_answer_margin, 0.1);
-        let room = !full && self.ids.borrow().len() < self.limits.work_units;
         let exchange =
-            room.then(|| Exchange::new(WuId(self.next_wu.get()), work, limit, &self.held)).flatten();
+            (!full).then(|| Exchange::new(WuId(self.next_wu.get()), work, limit, &self.held)).flatten();
         let answer = match exchange {
             None => Some(Answer::Deferred(None)),
             Some(exchange) => {
@@ -267,14 +266,7 @@
         let settings = settings.as_object().unwrap();
         let values = troutknot_hosting::named_values(settings).unwrap();
         let words = Rc::new(Vocabulary::of(settings, &values).unwrap());
-        let stated = crate::limits::Stated {
-            memory_mb: 64,
-            sockets: 128,
-            connect_wait: None,
-            executors_idle: None,
-            drain_grace: None,
-            longest: Duration::from_secs(5),
-        };
+        let stated = crate::limits::Stated { memory_mb: 64, sockets: 128, ..Default::default() };
         let limits = Rc::new(Limits::of(&stated));
         let (events, mut told) = mpsc::channel(16);
         let (_stage, staged) = watch::channel(Stage::Serving);
--- a/crates/daemon/src/driver.rs
+++ b/crates/daemon/src/driver.rs
@@ -47,26 +47,23 @@
     events: mpsc::Receiver<Event>,
     pub stage: Rc<watch::Sender<Stage>>,
     open: BTreeMap<WuId, Open>,
-    /// Who is listed, to see who is missing from a whole list.
-    listed: BTreeSet<ExecutorId>,
     wake: Option<Instant>,
     out_of_time: bool,
-    standstill: Millis,
 }
 
 impl Driver {
     pub fn new(
         dispatcher: Dispatcher,
+        clock: Clock,
         words: Rc<Vocabulary>,
         executors: Rc<Executors>,
         follow: Rc<Notify>,
         events: mpsc::Receiver<Event>,
         stage: watch::Sender<Stage>,
     ) -> Self {
-        let standstill = executors.limits.standstill.as_secs_f64() * 1000.0;
         Driver {
             dispatcher,
-            clock: executors.clock,
+            clock,
             words,
             executors,
             follow,
@@ -74,15 +71,14 @@
             events,
             stage: Rc::new(stage),
             open: BTreeMap::new(),
-            listed: BTreeSet::new(),
             wake: None,
             out_of_time: false,
-            standstill,
         }
     }
 
     pub async fn run(mut self) {
         let (mut actions, mut batch, mut looked) = (Vec::new(), Vec::new(), self.clock.now());
+        let standstill = self.executors.limits.standstill.as_secs_f64() * 1000.0;
         loop {
             let wake = self.wake;
             let first = tokio::select! {
@@ -93,7 +89,7 @@
                     Some(Event::Heard(Heard::TimerFired))
                 }
             };
-            if self.clock.now() - looked > self.standstill {
+            if self.clock.now() - looked > standstill {
                 // Guards against a node that stood still: the others first read what has come for them, and
                 // news of the list counts before anything is decided.
                 for _ in 0..READ_FIRST {
@@ -169,7 +165,9 @@
 
     fn list(&mut self, kind: ListKind, entries: Vec<Entry>) -> Heard {
         let (mut told, mut left_out) = (Vec::with_capacity(entries.len()), 0);
-        let mut missing = if kind == ListKind::Changes { BTreeSet::new() } else { self.listed.clone() };
+        // Who is missing from a whole list is gone.
+        let whole = kind != ListKind::Changes;
+        let mut missing: BTreeSet<_> = self.numbers.all().filter(|_| whole).collect();
         for entry in &entries {
             let Some(executor) = self.numbers.of_at_most(&entry.id, self.executors.limits.known) else {
                 left_out += 1;
@@ -183,7 +181,6 @@
             }
             self.executors.listed(executor, addr, listing.started, listing.phase == Phase::Healthy);
             missing.remove(&executor);
-            self.listed.insert(executor);
             told.push(listing);
         }
         if left_out > 0 {
--- a/crates/daemon/src/executors.rs
+++ b/crates/daemon/src/executors.rs
@@ -1,6 +1,5 @@
 //! The executor side: pooled connections, allocations and probes. It carries out what the driver says and
 //! tells it what came of it; what it may give a client goes into the exchange.
-use crate::clock::Clock;
 use crate::driver::Event;
 use crate::exchange::{Answer, Exchange, Stop};
 use crate::http1::{AnswerHead, Connection, Failed};
@@ -21,7 +20,6 @@
     pub limits: Rc<Limits>,
     pub words: Rc<Vocabulary>,
     pub events: mpsc::Sender<Event>,
-    pub clock: Clock,
     hosts: RefCell<Vec<Rc<Host>>>,
     open: Rc<Cell<usize>>,
 }
@@ -107,20 +105,8 @@
 }
 
 impl Executors {
-    pub fn new(
-        limits: Rc<Limits>,
-        words: Rc<Vocabulary>,
-        events: mpsc::Sender<Event>,
-        clock: Clock,
-    ) -> Rc<Self> {
-        Rc::new(Executors {
-            limits,
-            words,
-            events,
-            clock,
-            hosts: RefCell::default(),
-            open: Rc::new(Cell::new(0)),
-        })
+    pub fn new(limits: Rc<Limits>, words: Rc<Vocabulary>, events: mpsc::Sender<Event>) -> Rc<Self> {
+        Rc::new(Executors { limits, words, events, hosts: RefCell::default(), open: Rc::new(Cell::new(0)) })
     }
 
     /// What the list says of one executor. One that is not healthy is sent nothing after the wait.
@@ -388,11 +374,10 @@
             sockets: 128,
             connect_wait: wait,
             executors_idle: wait,
-            drain_grace: None,
-            longest: Duration::from_secs(5),
+            ..Default::default()
         });
         let (events, told) = mpsc::channel(16);
-        (Executors::new(Rc::new(limits), words, events, Clock::start()), told)
+        (Executors::new(Rc::new(limits), words, events), told)
     }
 
     fn exchange() -> Rc<Exchange> {
--- a/crates/daemon/src/http1.rs
+++ b/crates/daemon/src/http1.rs
@@ -11,6 +11,9 @@
 
 const MOST_HEADERS: usize = 64;
 
+/// Tells a client that asks first that its body is welcome.
+pub const GO_ON: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
+
 /// Why a message cannot be taken.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Bad {
--- a/crates/daemon/src/limits.rs
+++ b/crates/daemon/src/limits.rs
@@ -2,6 +2,7 @@
 use std::time::Duration;
 
 /// What the deployment states, from which the rest follows.
+#[derive(Default)]
 pub struct Stated {
     pub memory_mb: u64,
     pub sockets: u64,
@@ -17,7 +18,7 @@
     /// Each ring buffer; a message's head must fit in one.
     pub ring: usize,
     pub body: usize,
-    /// Bodies and results that are held for open work units, all together.
+    /// What clients sent for open work units, all together.
     pub held_bytes: usize,
     /// One line of the list.
     pub list_line: usize,
@@ -30,7 +31,6 @@
     pub backlog: u32,
     /// Connections to executors; a sixteenth is kept for probes.
     pub executors: usize,
-    pub work_units: usize,
     /// Events that may wait for the driver.
     pub events: usize,
     /// How long a head or a body may take to come, and an answer to be taken.
@@ -77,24 +77,23 @@
         let sockets = stated.sockets.clamp(64, 1 << 20) - SPARE;
         let memory = stated.memory_mb.clamp(16, 1 << 20) as usize * 1024 * 1024;
         let ring = 16 * 1024;
-        // A sixth of the memory for rings, two for each connection; a quarter for what is held.
+        // A sixth of the memory for rings, two for each connection, and a sixth for what is held.
         let connections = (sockets as usize).min(memory / 6 / (2 * ring));
         let turned_away = (connections / 16).max(2);
         let executors = (connections - turned_away) * 9 / 20;
         let clients = connections - turned_away - executors;
         let part = |whole: Duration, of: f64| whole.mul_f64(of);
-        let connect_wait = stated.connect_wait.unwrap_or(Duration::from_millis(250));
+        let connect_wait = stated.connect_wait.unwrap_or(Duration::from_secs(1));
         Limits {
             ring,
             body: 64 * 1024,
-            held_bytes: memory / 4,
-            list_line: (memory / 24).min(8 * 1024 * 1024),
-            known: memory / 4096,
+            held_bytes: memory / 6,
+            list_line: (memory / 32).min(8 * 1024 * 1024),
+            known: memory / 12_288,
             clients,
             turned_away,
             backlog: 1024,
             executors,
-            work_units: clients,
             events: 4096,
             client_wait: Duration::from_secs(5),
             client_idle: Duration::from_secs(120),
@@ -102,13 +101,15 @@
             connect_wait,
             probe_wait: connect_wait,
             standstill: Duration::from_millis(100),
-            retire_after: part(stated.executors_idle.unwrap_or(Duration::from_secs(5)), 0.7),
+            retire_after: part(stated.executors_idle.unwrap_or(Duration::from_secs(1)), 0.7),
             tail_wait: Duration::from_millis(100),
             drain_wait: part(stated.drain_grace.unwrap_or_default(), 0.5),
             answer_margin: Duration::from_millis(25),
             last_answer_margin: Duration::from_millis(8),
+            // Discovery says something every 2 s.
             list_silence: Duration::from_millis(2600),
             ready_wait: Duration::from_secs(1),
+            // Connections come for up to 400 ms more.
             linger: Duration::from_millis(650),
             // A node that is asked to end has the longest limit, or three seconds, and 700 ms more.
             cut_after: stated.longest.min(MOST_TO_END) + Duration::from_millis(200),
@@ -121,18 +122,12 @@
 #[test]
 fn connections_and_memory_stay_within_what_is_stated() {
     for (memory_mb, sockets) in [(192, 1024), (16, 64), (64, 100_000), (2048, 4096), (0, 0)] {
-        let stated = Stated {
-            memory_mb,
-            sockets,
-            connect_wait: None,
-            executors_idle: None,
-            drain_grace: None,
-            longest: Duration::from_secs(5),
-        };
-        let l = Limits::of(&stated);
+        let l = Limits::of(&Stated { memory_mb, sockets, ..Stated::default() });
         let connections = l.clients + l.turned_away + l.executors;
         assert!(connections as u64 + SPARE <= sockets.max(64), "{l:?}");
-        let held = connections * 2 * l.ring + l.held_bytes + 2 * l.executors * l.body + l.list_line;
+        // Rings, open work units, bodies on their way in, results, a list, and about 640 bytes an executor.
+        let bodies = l.held_bytes + l.clients * l.body + 2 * l.executors * l.body;
+        let held = connections * 2 * l.ring + bodies + l.list_line + l.known * 640;
         assert!(held <= memory_mb.max(16) as usize * 1024 * 1024 * 9 / 10, "{held} {l:?}");
         assert!(l.clients > 0 && l.turned_away > 0 && l.executors > 0);
     }
--- a/crates/daemon/src/list.rs
+++ b/crates/daemon/src/list.rs
@@ -21,8 +21,6 @@
     pub events: mpsc::Sender<Event>,
     /// Asks for a watch.
     pub ask: Rc<Notify>,
-    /// The version that is known.
-    pub version: Option<u64>,
 }
 
 /// Which of the versions that come are news.
@@ -51,8 +49,9 @@
 }
 
 impl Follower {
-    pub async fn run(mut self) {
-        let mut versions = Versions { known: self.version, old: 0 };
+    /// Follows from the version that is known.
+    pub async fn run(self, known: Option<u64>) {
+        let mut versions = Versions { known, old: 0 };
         loop {
             self.ask.notified().await;
             let why = match self.watch(&mut versions).await {
@@ -66,7 +65,7 @@
         }
     }
 
-    async fn watch(&mut self, versions: &mut Versions) -> Result<(), String> {
+    async fn watch(&self, versions: &mut Versions) -> Result<(), String> {
         let silence = self.limits.list_silence;
         let silent = |_| "silent for too long".to_string();
         let stream = timeout(self.limits.connect_wait, TcpStream::connect(self.discovery)).await;
@@ -90,15 +89,12 @@
                 let list: List = serde_json::from_slice(&line).map_err(|e| format!("garbage: {e}"))?;
                 let news = versions.take(&list, first);
                 first = false;
-                let (kind, entries) = match news {
-                    Some(kind) => (kind, list.entries),
-                    // Nothing has changed since; that is word from the list as well.
-                    None if list.entries.is_empty() => (ListKind::Changes, Vec::new()),
-                    None => {
-                        tracing::info!("list version {} is not new, passed over", list.version);
-                        (ListKind::Changes, Vec::new())
-                    }
-                };
+                if news.is_none() && !list.entries.is_empty() {
+                    tracing::info!("list version {} is not new, passed over", list.version);
+                }
+                // That nothing has changed is word from the list as well.
+                let (kind, entries) =
+                    news.map_or((ListKind::Changes, Vec::new()), |kind| (kind, list.entries));
                 let told = Event::List(kind, entries);
                 self.events.send(told).await.map_err(|_| "the node ends".to_string())?;
             }
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -105,11 +105,11 @@
     let (events, told_events) = mpsc::channel(limits.events);
     let (stage, staged) = watch::channel(Stage::Starting);
     let follow = Rc::new(Notify::new());
-    let executors = Executors::new(limits.clone(), words.clone(), events.clone(), clock);
+    let executors = Executors::new(limits.clone(), words.clone(), events.clone());
     let clients = Clients::new(limits.clone(), words.clone(), events.clone(), staged);
     let dispatcher = Dispatcher::new(values, seed, clock.now());
     let mut driver =
-        Driver::new(dispatcher, words.clone(), executors.clone(), follow.clone(), told_events, stage);
+        Driver::new(dispatcher, clock, words.clone(), executors.clone(), follow.clone(), told_events, stage);
     let version = told.known.as_ref().map(|known| known.version);
     if let Some(known) = told.known {
         driver.tell(clock.now(), Event::List(ListKind::Saved, known.entries));
@@ -120,11 +120,10 @@
         words,
         events: events.clone(),
         ask: follow.clone(),
-        version,
     };
     // The list is followed from the start, also where nobody has to ask for it.
     follow.notify_one();
-    spawn_local(follower.run());
+    spawn_local(follower.run(version));
     spawn_local(executors.retire_idle());
     spawn_local(clients.clone().accept(listener));
     let stage = driver.stage.clone();
--- a/crates/daemon/src/words.rs
+++ b/crates/daemon/src/words.rs
@@ -8,7 +8,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 use troutknot::*;
-use troutknot_hosting::{named_reading, token};
+use troutknot_hosting::{LoadFields, named_reading, token};
 
 const ID: &str = "Request-Id";
 const TYPE: &str = "Request-Class";
@@ -73,7 +73,7 @@
         if !limits.iter().all(|l| (1.0..1e9).contains(l)) {
             return Err("a project type has no hard limit".into());
         }
-        let reports = settings.get("load_info").and_then(|info| info.get("fields")).and_then(Value::as_array);
+        let reports = !LoadFields::stated(settings).is_empty();
         Ok(Vocabulary {
             project_types,
             customers: names(settings.get("customers")),
@@ -83,7 +83,7 @@
             longest_come_back: values
                 .holds("limits.longest_come_back")
                 .then(|| values.number("limits.longest_come_back", 0.0)),
-            probe_path: if reports.is_some_and(|r| !r.is_empty()) { REPORT_PATH } else { PROBE_PATH },
+            probe_path: if reports { REPORT_PATH } else { PROBE_PATH },
         })
     }
 
@@ -125,8 +125,8 @@
         for (name, value) in one(FIGURES)?.unwrap_or("").split(',').filter_map(|pair| pair.split_once('=')) {
             let figure = value.trim().parse::<f64>().ok().filter(|v| (0.0..1e6).contains(v));
             match name.trim() {
-                "slots" | "cores_needed" => slots = figure.ok_or((400, "odd slots"))?,
-                "memory" | "mem_needed" => memory = figure.ok_or((400, "odd memory"))?,
+                "slots" => slots = figure.ok_or((400, "odd slots"))?,
+                "memory" => memory = figure.ok_or((400, "odd memory"))?,
                 _ => {}
             }
         }
--- a/crates/daemon/tests/node.rs
+++ b/crates/daemon/tests/node.rs
@@ -12,6 +12,14 @@
 
 const PATIENCE: Duration = Duration::from_secs(20);
 
+fn until(what: &str, mut done: impl FnMut() -> bool) {
+    let end = Instant::now() + PATIENCE;
+    while !done() {
+        assert!(Instant::now() < end, "{what} in time");
+        thread::yield_now();
+    }
+}
+
 /// What an executor does with one allocation.
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Act {
@@ -96,11 +104,7 @@
 
     /// Waits until so many allocations have come.
     fn wait_for(&self, count: usize) {
-        let end = Instant::now() + PATIENCE;
-        while self.seen.lock().unwrap().len() < count {
-            assert!(Instant::now() < end, "allocations come in time");
-            thread::yield_now();
-        }
+        until("allocations come", || self.seen.lock().unwrap().len() >= count);
     }
 }
 
@@ -252,9 +256,7 @@
         let mut node = Node { process, addr: ([127, 0, 0, 1], 0).into(), log };
         let line = node.logged(" listens at ");
         node.addr = line.split(" listens at ").nth(1).unwrap().split(": ").next().unwrap().parse().unwrap();
-        while node.ask(HEALTH).0 != 200 {
-            thread::yield_now();
-        }
+        until("it is ready", || node.ask(HEALTH).0 == 200);
         node
     }
 
@@ -442,7 +444,7 @@
         assert_eq!(used(5), (0, 5), "the list stays in use meanwhile");
     }
     discovery.lines.send(list(9, true, &[entry("s-1", &one, "Ready")])).unwrap();
-    while used(1) != (1, 0) {}
+    until("the new list is used", || used(1) == (1, 0));
     assert_eq!(used(20), (20, 0), "who is missing from a whole list is gone");
 }
 
@@ -459,12 +461,12 @@
     // A silent machine may have run what it was sent over the connection that it had.
     assert_eq!(node.ask(work("publish", "2", 0.5, "")).0, 502);
     one.mute.store(false, Ordering::Relaxed);
-    while node.ask(work("publish", "back", 3.0, "")).0 != 200 {}
+    until("it is back", || node.ask(work("publish", "back", 3.0, "")).0 == 200);
     discovery.lines.send(list(8, true, &[dead.clone()])).unwrap();
     // Nothing ever ran, so even exclusive work is deferred, and in time.
-    while node.ask(work("publish", "gone", 3.0, "")).0 != 503 {}
+    until("it is deferred", || node.ask(work("publish", "gone", 3.0, "")).0 == 503);
     discovery.lines.send(list(9, true, &[entry("s-1", &one, "Ready"), dead])).unwrap();
-    while node.ask(work("publish", "back", 3.0, "")).0 != 200 {}
+    until("it is back", || node.ask(work("publish", "back", 3.0, "")).0 == 200);
 }
 
 #[test]
@@ -478,10 +480,7 @@
     executor.wait_for(1);
     drop(leaves);
     // Its id is free again once the node has seen that.
-    let end = Instant::now() + Duration::from_secs(10);
-    while node.ask(work("render", "1", 30.0, "")).0 == 409 {
-        assert!(Instant::now() < end, "the node sees that the client left");
-    }
+    until("the node sees that the client left", || node.ask(work("render", "1", 30.0, "")).0 != 409);
     let before = executor.seen.lock().unwrap().len();
     executor.go_on.send(()).unwrap();
     assert_eq!(node.ask(work("render", "2", 30.0, "")).0, 200);
@@ -569,10 +568,7 @@
         assert!(most <= memory_mb * 1024, "{most} kB of {memory_mb} MB");
         drop(connections);
         // It serves on once it has seen that they are gone; until then it may say that it is full.
-        let end = Instant::now() + PATIENCE;
-        while node.ask(work("render", "x", 3.0, "")).0 != 200 {
-            assert!(Instant::now() < end, "it serves on");
-        }
+        until("it serves on", || node.ask(work("render", "x", 3.0, "")).0 == 200);
     }
 }
 
--- a/crates/hosting/src/lib.rs
+++ b/crates/hosting/src/lib.rs
@@ -54,6 +54,10 @@
         (self.names.len() < most || self.numbers.contains_key(name)).then(|| self.of(name))
     }
 
+    pub fn all(&self) -> impl Iterator<Item = ExecutorId> + use<> {
+        (0..self.names.len() as u32).map(ExecutorId)
+    }
+
     pub fn name(&self, executor: ExecutorId) -> &str {
         &self.names[executor.0 as usize]
     }
@@ -103,6 +107,10 @@
         LoadFields(words.map(LoadField::named).collect())
     }
 
+    pub fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+
     pub fn reading(&self, values: &[Option<f64>]) -> Reading {
         let mut reading = Reading::default();
         self.0.iter().zip(values).for_each(|(field, value)| field.put(*value, &mut reading));
