SIGHUP reads the configuration again and follows its list at once

Checked: the log stops at the signal; no handler was registered (crates/daemon/src/main.rs, run, waits for SIGTERM and SIGINT alone), and list::Follower held one address for life. Ruled out: memory (0 of 48 MB) and descriptors (72 of 384). Change: briefing.rs reads and checks the file at start and at each SIGHUP, also while the node ends; the follower drops its watch for a new address and asks there from the version that it knows. A version now counts as known only once it is told, as a watch may be dropped between the two.

--- /dev/null
+++ b/crates/daemon/src/briefing.rs
@@ -0,0 +1,83 @@
+//! What a node is told: read at its start, and again whenever it is asked to.
+use crate::words::{List, Vocabulary};
+use serde::Deserialize;
+use std::io::Read;
+use std::net::SocketAddr;
+use tokio::signal::unix::Signal;
+use tokio::sync::watch;
+use troutknot::NamedValues;
+use troutknot_hosting::named_values;
+
+/// A file that is longer is not read.
+const MOST_BYTES: u64 = 16 * 1024 * 1024;
+
+#[derive(Deserialize)]
+pub struct Briefing {
+    pub name: String,
+    pub listen: SocketAddr,
+    pub discovery: SocketAddr,
+    pub seed: String,
+    pub limits: BriefedLimits,
+    pub known: Option<List>,
+    pub settings: serde_json::Map<String, serde_json::Value>,
+}
+
+#[derive(Deserialize, PartialEq)]
+pub struct BriefedLimits {
+    pub memory_mb: u64,
+    pub sockets: u64,
+}
+
+/// The same in the forms that the parts of the node take it in.
+pub struct Understood {
+    pub seed: u64,
+    pub values: NamedValues,
+    pub words: Vocabulary,
+}
+
+impl Briefing {
+    pub fn read() -> Result<Self, String> {
+        let path = std::env::var("ROUTER_CONFIG").map_err(|_| "ROUTER_CONFIG is not set")?;
+        let mut text = String::new();
+        let read =
+            std::fs::File::open(&path).and_then(|file| file.take(MOST_BYTES).read_to_string(&mut text));
+        read.map_err(|e| format!("cannot read `{path}`: {e}"))?;
+        serde_json::from_str(&text).map_err(|e| format!("`{path}`: {e}"))
+    }
+
+    pub fn understood(&self) -> Result<Understood, String> {
+        let seed = u64::from_str_radix(&self.seed, 16).map_err(|_| format!("odd seed `{}`", self.seed))?;
+        let values = named_values(&self.settings)?;
+        let words = Vocabulary::of(&self.settings, &values)?;
+        Ok(Understood { seed, values, words })
+    }
+
+    /// What a newer one says otherwise that holds until the node's end.
+    fn kept(&self, newer: &Briefing) -> Vec<&'static str> {
+        let differ = [
+            ("name", self.name != newer.name),
+            ("listen", self.listen != newer.listen),
+            ("seed", self.seed != newer.seed),
+            ("limits", self.limits != newer.limits),
+            ("settings", self.settings != newer.settings),
+        ];
+        differ.into_iter().filter(|(_, differs)| *differs).map(|(name, _)| name).collect()
+    }
+
+    /// Reads the file again at each signal, until the node's end, and says which list is to be followed.
+    pub async fn reread(self, mut asked: Signal, discovery: watch::Sender<SocketAddr>) {
+        while asked.recv().await.is_some() {
+            // Guards against a new file that is bad: the node goes on as it was.
+            match Briefing::read().and_then(|newer| newer.understood().map(|_| newer)) {
+                Err(why) => tracing::warn!("new configuration not taken, the old one goes on: {why}"),
+                Ok(newer) => {
+                    let kept = self.kept(&newer).join(", ");
+                    let kept = if kept.is_empty() { kept } else { format!("; kept as at the start: {kept}") };
+                    let moved = discovery.send_replace(newer.discovery) != newer.discovery;
+                    let what = if moved { "the list is now followed at" } else { "the list is still at" };
+                    tracing::info!("configuration read again, {what} {}{kept}", newer.discovery);
+                }
+            }
+        }
+    }
+}
--- a/crates/daemon/src/list.rs
+++ b/crates/daemon/src/list.rs
@@ -7,7 +7,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio::net::TcpStream;
-use tokio::sync::{Notify, mpsc};
+use tokio::sync::{Notify, mpsc, watch};
 use tokio::time::timeout;
 use troutknot::{Event as Heard, ListKind};
 
@@ -15,7 +15,8 @@
 const OLD_LISTS: u32 = 3;
 
 pub struct Follower {
-    pub discovery: SocketAddr,
+    /// Where the list is followed; another address is followed at once.
+    pub discovery: watch::Receiver<SocketAddr>,
     pub limits: Rc<Limits>,
     pub words: Rc<Vocabulary>,
     pub events: mpsc::Sender<Event>,
@@ -52,12 +53,26 @@
     /// Follows from the version that is known.
     pub async fn run(self, known: Option<u64>) {
         let mut versions = Versions { known, old: 0 };
+        let (mut followed, mut moved) = (self.discovery.clone(), false);
         loop {
-            self.ask.notified().await;
-            let why = match self.watch(&mut versions).await {
-                Ok(()) => "it was ended".to_string(),
-                Err(why) => why,
+            if !moved {
+                tokio::select! {
+                    () = self.ask.notified() => {}
+                    Ok(()) = followed.changed() => {}
+                }
+            }
+            let discovery = *followed.borrow_and_update();
+            let why = tokio::select! {
+                biased;
+                Ok(()) = followed.changed() => {
+                    moved = true;
+                    continue;
+                }
+                ended = self.watch(discovery, &mut versions) => {
+                    ended.err().unwrap_or("it was ended".to_string())
+                }
             };
+            moved = false;
             tracing::warn!("watch of the list broke off: {why}");
             if self.events.send(Event::Heard(Heard::ListLost)).await.is_err() {
                 return;
@@ -65,13 +80,13 @@
         }
     }
 
-    async fn watch(&self, versions: &mut Versions) -> Result<(), String> {
+    async fn watch(&self, discovery: SocketAddr, versions: &mut Versions) -> Result<(), String> {
         let silence = self.limits.list_silence;
         let silent = |_| "silent for too long".to_string();
-        let stream = timeout(self.limits.connect_wait, TcpStream::connect(self.discovery)).await;
+        let stream = timeout(self.limits.connect_wait, TcpStream::connect(discovery)).await;
         let stream = stream.map_err(silent)?.map_err(|e| e.to_string())?;
         let mut connection = Connection::new(stream, self.limits.ring);
-        let ask = self.words.watch(self.discovery, versions.known);
+        let ask = self.words.watch(discovery, versions.known);
         connection.write(&[ask.as_bytes()]).await.map_err(|e| e.to_string())?;
         let said = |e: Failed| e.to_string();
         let mut head = timeout(silence, connection.answer_head()).await.map_err(silent)?.map_err(said)?;
@@ -87,6 +102,9 @@
             let ended = timeout(silence, more).await.map_err(silent)?.map_err(said)?;
             while let Some(line) = words::next_line(&mut buffer, false) {
                 let list: List = serde_json::from_slice(&line).map_err(|e| format!("garbage: {e}"))?;
+                // Guards against a move to another address between the two: a version that counts as known has
+                // been told.
+                let told = self.events.reserve().await.map_err(|_| "the node ends".to_string())?;
                 let news = versions.take(&list, first);
                 first = false;
                 if news.is_none() && !list.entries.is_empty() {
@@ -95,8 +113,7 @@
                 // That nothing has changed is word from the list as well.
                 let (kind, entries) =
                     news.map_or((ListKind::Changes, Vec::new()), |kind| (kind, list.entries));
-                let told = Event::List(kind, entries);
-                self.events.send(told).await.map_err(|_| "the node ends".to_string())?;
+                told.send(Event::List(kind, entries));
             }
             if ended {
                 return Ok(());
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -1,4 +1,5 @@
 //! `troutknotd`: one real node. Here it starts and stops; the parts are one file each.
+mod briefing;
 mod clients;
 mod clock;
 mod driver;
@@ -10,12 +11,12 @@
 mod ring;
 mod words;
 
+use briefing::{Briefing, Understood};
 use clients::{Clients, Stage};
 use clock::Clock;
 use driver::{Driver, Event};
 use executors::Executors;
 use limits::{Limits, Stated};
-use serde::Deserialize;
 use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::rc::Rc;
@@ -27,25 +28,6 @@
 use tokio::time::{Instant, sleep};
 use tracing_appender::non_blocking::NonBlockingBuilder;
 use troutknot::{Dispatcher, ListKind};
-use troutknot_hosting::named_values;
-
-/// What a node is told at its start.
-#[derive(Deserialize)]
-struct Briefing {
-    name: String,
-    listen: SocketAddr,
-    discovery: SocketAddr,
-    seed: String,
-    limits: BriefedLimits,
-    known: Option<words::List>,
-    settings: serde_json::Map<String, serde_json::Value>,
-}
-
-#[derive(Deserialize)]
-struct BriefedLimits {
-    memory_mb: u64,
-    sockets: u64,
-}
 
 fn main() -> ExitCode {
     let level = match std::env::var("TROUTKNOT_LOG").as_deref() {
@@ -71,18 +53,17 @@
 }
 
 fn start() -> Result<(), String> {
-    let path = std::env::var("ROUTER_CONFIG").map_err(|_| "ROUTER_CONFIG is not set")?;
-    let text = std::fs::read_to_string(&path).map_err(|e| format!("cannot read `{path}`: {e}"))?;
-    let told: Briefing = serde_json::from_str(&text).map_err(|e| format!("`{path}`: {e}"))?;
+    let told = Briefing::read()?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(|e| format!("no runtime: {e}"))?;
     LocalSet::new().block_on(&runtime, run(told))
 }
 
-async fn run(told: Briefing) -> Result<(), String> {
-    let seed = u64::from_str_radix(&told.seed, 16).map_err(|_| format!("odd seed `{}`", told.seed))?;
-    let values = named_values(&told.settings)?;
-    let words = Rc::new(words::Vocabulary::of(&told.settings, &values)?);
+async fn run(mut told: Briefing) -> Result<(), String> {
+    // A node that is asked to read its configuration again before it serves must not end by that.
+    let reread = signal(SignalKind::hangup()).map_err(|e| format!("no signals: {e}"))?;
+    let Understood { seed, values, words } = told.understood()?;
+    let words = Rc::new(words);
     let span = |name: &str| {
         let millis = values.number(name, -1.0);
         (0.0..1e9).contains(&millis).then(|| Duration::from_secs_f64(millis / 1000.0))
@@ -111,11 +92,12 @@
     let mut driver =
         Driver::new(dispatcher, clock, words.clone(), executors.clone(), follow.clone(), told_events, stage);
     let version = told.known.as_ref().map(|known| known.version);
-    if let Some(known) = told.known {
+    if let Some(known) = told.known.take() {
         driver.tell(clock.now(), Event::List(ListKind::Saved, known.entries));
     }
+    let (discovery, followed) = watch::channel(told.discovery);
     let follower = list::Follower {
-        discovery: told.discovery,
+        discovery: followed,
         limits: limits.clone(),
         words,
         events: events.clone(),
@@ -136,6 +118,7 @@
         limits.executors,
         limits.held_bytes
     );
+    spawn_local(told.reread(reread, discovery));
     let unlisted = sleep(limits.ready_wait);
     tokio::pin!(driver, unlisted);
     loop {
--- a/crates/daemon/tests/node.rs
+++ b/crates/daemon/tests/node.rs
@@ -219,11 +219,15 @@
         "project_types": [of("render", "safe"), of("publish", "unsafe")]})
 }
 
-fn launch(config: &str, log: &str) -> Child {
+fn config_file(config: &str) -> String {
     static NUMBER: AtomicU32 = AtomicU32::new(0);
     let number = NUMBER.fetch_add(1, Ordering::Relaxed);
     let path = format!("{}/config-{}-{number}.json", env!("CARGO_TARGET_TMPDIR"), std::process::id());
     std::fs::write(&path, config).unwrap();
+    path
+}
+
+fn launch(path: &str, log: &str) -> Child {
     Command::new(env!("CARGO_BIN_EXE_troutknotd"))
         .env("ROUTER_CONFIG", path)
         .env("TROUTKNOT_LOG", log)
@@ -237,6 +241,8 @@
     process: Child,
     addr: SocketAddr,
     log: Receiver<String>,
+    config: Value,
+    path: String,
 }
 
 impl Node {
@@ -248,12 +254,13 @@
         let config = json!({"name": "n0", "listen": "127.0.0.1:0", "discovery": discovery.addr.to_string(),
             "seed": "8c1f30d27a5be964", "limits": {"cores": 1.0, "memory_mb": limits.1, "sockets": limits.0},
             "settings": settings});
-        let mut process = launch(&config.to_string(), log);
+        let path = config_file(&config.to_string());
+        let mut process = launch(&path, log);
         // Few lines are taken from a log that a test does not read; then the pipe fills up.
         let (send, log) = mpsc::sync_channel(64);
         let lines = BufReader::new(process.stdout.take().unwrap()).lines();
         thread::spawn(move || lines.map_while(Result::ok).try_for_each(|line| send.send(line)));
-        let mut node = Node { process, addr: ([127, 0, 0, 1], 0).into(), log };
+        let mut node = Node { process, addr: ([127, 0, 0, 1], 0).into(), log, config, path };
         let line = node.logged(" listens at ");
         node.addr = line.split(" listens at ").nth(1).unwrap().split(": ").next().unwrap().parse().unwrap();
         until("it is ready", || node.ask(HEALTH).0 == 200);
@@ -280,9 +287,20 @@
         ask(&mut self.connect(), request)
     }
 
+    fn signal(&self, name: &str) {
+        let mut kill = Command::new("kill");
+        assert!(kill.args(["-s", name, &self.process.id().to_string()]).status().unwrap().success());
+    }
+
     /// Sends the signal that asks a node to end.
     fn terminate(&self) {
-        assert!(Command::new("kill").arg(self.process.id().to_string()).status().unwrap().success());
+        self.signal("TERM");
+    }
+
+    /// Replaces the configuration and has it read again.
+    fn reread(&self, config: &str) {
+        std::fs::write(&self.path, config).unwrap();
+        self.signal("HUP");
     }
 }
 
@@ -448,6 +466,45 @@
     assert_eq!(used(20), (20, 0), "who is missing from a whole list is gone");
 }
 
+#[test]
+fn a_new_configuration_is_followed_at_once_and_a_bad_one_is_not_taken() {
+    let (old, new) = (Executor::start(), Executor::start());
+    let first = Discovery::start(list(7, true, &[entry("s-1", &old, "Ready")]));
+    let second = Discovery::start(list(8, false, &[entry("s-2", &new, "Ready")]));
+    let mut node = Node::start(&first);
+    first.asked.recv_timeout(PATIENCE).unwrap();
+    old.acts.lock().unwrap().push_back(Act::Wait);
+    let mut taken = node.connect();
+    taken.get_mut().write_all(work("publish", "1", 30.0, "").as_bytes()).unwrap();
+    old.wait_for(1);
+    for bad in ["", "{\"name\": 5}", &node.config.to_string().replace("render", "").replace("30000000", "0")]
+    {
+        node.reread(bad);
+        node.logged("new configuration not taken");
+    }
+    let mut config = node.config.clone();
+    config["discovery"] = json!(second.addr.to_string());
+    config["limits"]["sockets"] = json!(512);
+    // One after the other, so that some come while the last is still being taken.
+    for _ in 0..20 {
+        node.reread(&config.to_string());
+    }
+    assert!(node.logged("the list is now followed at").ends_with("; kept as at the start: limits"));
+    let asked = second.asked.recv_timeout(Duration::from_secs(4)).expect("it is asked at once");
+    assert!(asked.ends_with("&index=7 HTTP/1.1"), "the list is kept: {asked}");
+    second.lines.send(list(9, false, &[entry("s-1", &old, "Terminating")])).unwrap();
+    until("the new list is used", || {
+        assert_eq!(node.ask(work("render", "2", 3.0, "")).0, 200);
+        !new.seen.lock().unwrap().is_empty()
+    });
+    node.terminate();
+    node.logged("asked to end");
+    node.signal("HUP");
+    old.go_on.send(()).unwrap();
+    assert_eq!(answer(&mut taken).0, 200, "work that was taken goes on");
+    assert!(node.process.wait().unwrap().success());
+}
+
 #[test]
 fn executors_that_cannot_be_reached_cost_no_effect_and_no_answer() {
     let (one, two) = (Executor::start(), Executor::start());
@@ -602,7 +659,7 @@
         (with("/settings/project_types/0/hard_limit", json!("long")), "wrong type"),
         (with("/settings/project_types/0/hard_limit", json!(0)), "no hard limit"),
     ] {
-        let out = launch(&config, "info").wait_with_output().unwrap();
+        let out = launch(&config_file(&config), "info").wait_with_output().unwrap();
         let said = String::from_utf8(out.stderr).unwrap();
         assert!(!out.status.success() && said.lines().count() == 1 && said.contains(part), "{said}");
     }
