Distrust averages over the last twelve outcomes instead of adding them up

Checked: a trace of every outcome by executor. One error adds 1, so the score stood at its cap of 6. But 17 ordinary completions a second at every other executor add 0.7 of the logarithm of what runs over the mean, which with the long tail here sums to about the same cap: chance let nobody through, and pick's last resort, any allowed one, decided nearly every draw. Lines: Fleet::add_distrust and the fallback in pick (src/rules.rs). Ruled out: room_at (nothing was held), list changes that clear the score (none before 7.9 s). Change: past twelve outcomes each one more takes the place of one. Windows of 6 and 20 were measured too.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -30,6 +30,9 @@
 /// Distrust fades by this time constant; a running time over the usual adds so much of its logarithm to it.
 const DISTRUST_FADE: Millis = 4000.0;
 const SLOW_DISTRUST: f64 = 0.7;
+/// So many outcomes say enough: past them each one more takes the place of one, so that a score tells how an
+/// executor does and not how much it does.
+const ENOUGH: f64 = 12.0;
 /// Part of the cold budget that is used, as only mean running times are known; to so many nodes it is dealt.
 const COLD_HEADROOM: f64 = 0.8;
 const DEALT: u64 = 4;
@@ -73,6 +76,8 @@
     listed: Vec<Listing>,
     /// Score for what failed there, and when it was set.
     failed: Vec<(f64, Millis)>,
+    /// How many outcomes it was made of, fading alike.
+    judged: Vec<(f64, Millis)>,
     /// The most slots that reports have shown, and the least of these; it stands in where none are shown yet.
     slots: Vec<f64>,
     least_slots: f64,
@@ -231,6 +236,7 @@
         while self.listed.len() <= e {
             self.listed.push(Listing { phase: Phase::Gone, started: None, ..*entry });
             self.failed.push((0.0, 0.0));
+            self.judged.push((0.0, 0.0));
             self.slots.push(0.0);
             self.reading.push(Reading::default());
             self.read_at.push(0.0);
@@ -248,7 +254,10 @@
     }
 
     fn add_distrust(&mut self, e: usize, now: Millis, by: f64) {
-        self.failed[e] = ((faded(self.failed[e], now, DISTRUST_FADE) + by).min(6.0), now);
+        let seen = faded(self.judged[e], now, DISTRUST_FADE) + 1.0;
+        let kept = (ENOUGH / seen).min(1.0);
+        self.failed[e] = ((faded(self.failed[e], now, DISTRUST_FADE) + by) * kept, now);
+        self.judged[e] = (seen * kept, now);
     }
 
     fn own_change(&mut self, e: usize, now: Millis, slots: f64) {
@@ -333,6 +342,9 @@
         let per_ms = |k| values.number(&share(k), 0.0) * part / 1000.0;
         let full = |k| Share { left: f64::INFINITY, at: now, per_ms: per_ms(k) };
         let shares = (0..).take_while(|&k| values.holds(&share(k))).map(full).collect();
+        let price = values.number("prices.probe", 0.0);
+        let ask_at = if values.text("list_mode") == "asked" { now } else { f64::INFINITY };
+        let ask_every = values.number("rules.ask_every", 10_000.0);
         Dispatcher {
             rng: ChaCha8Rng::seed_from_u64(seed),
             types,
@@ -358,17 +370,8 @@
             probes_wanted: Vec::new(),
             wakes: BTreeSet::new(),
             wake_set: f64::INFINITY,
-            monitoring: Monitoring {
-                draws: 2,
-                at: now,
-                price: values.number("prices.probe", 0.0),
-                ..Monitoring::default()
-            },
-            following: Following {
-                ask_at: if values.text("list_mode") == "asked" { now } else { f64::INFINITY },
-                failures: 0,
-                ask_every: values.number("rules.ask_every", 10_000.0),
-            },
+            monitoring: Monitoring { draws: 2, at: now, price, ..Monitoring::default() },
+            following: Following { ask_at, failures: 0, ask_every },
             log: Vec::new(),
         }
     }
@@ -823,13 +826,11 @@
         for wu in std::mem::take(&mut self.touched) {
             let Some(w) = self.wus.get_mut(&wu) else { continue };
             match w.wanted {
-                Wanted::Probed | Wanted::Held => {}
-                Wanted::Out(executor, cut_at) => {
-                    if w.allocs.last().is_none_or(|a| a.outcome.is_some()) {
-                        w.allocs.push(Alloc { executor, sent: now, outcome: None });
-                        actions.push(Action::Push { wu, executor, cut_at });
-                    }
+                Wanted::Out(executor, cut_at) if w.allocs.last().is_none_or(|a| a.outcome.is_some()) => {
+                    w.allocs.push(Alloc { executor, sent: now, outcome: None });
+                    actions.push(Action::Push { wu, executor, cut_at });
                 }
+                Wanted::Probed | Wanted::Held | Wanted::Out(..) => {}
                 Wanted::Deferred(come_back) => {
                     actions.push(Action::Defer { wu, come_back });
                     self.forget(wu);
