Who sends no request, or a bad one, is answered or closed in 2 s and makes room first

Checked: a trace of every connection and head. All 132 places were taken by 576 connections that ask for /_health once and stay, and 461 that never send a whole request; one that came then was told that the node is full, as only idle connections older than 1 s were closed (Clients::take, close_longest_idle). A client that drips had 5 s for a head and 5 s more for a body. Ruled out: CPU (0.06 s in the worst second), memory (1 of 48 MB), deferrals of the module (no held work then). Change: a request is due 2 s after its first byte, the first one 2 s after the connection; full, the node closes connections without any work unit first, after 0.15 s, and a newcomer waits for that; /_health closes; ids are kept in mind after their end; refusals say when to come back; of a refused body 64 KB are read, no more. Rings share what they hold beyond 2 KB, so that places follow from descriptors (256 instead of 132 with 48 MB and 384).

--- a/crates/daemon/src/clients.rs
+++ b/crates/daemon/src/clients.rs
@@ -1,16 +1,17 @@
 //! The client side: accepts connections, takes work units in, and writes each its one final answer.
 use crate::driver::Event;
-use crate::exchange::{Answer, Exchange, HeldBytes};
-use crate::http1::{self, Connection, Failed, RequestHead};
+use crate::exchange::{Answer, Exchange, Work};
+use crate::held::HeldBytes;
+use crate::http1::{self, Connection, Failed};
 use crate::limits::Limits;
 use crate::words::{READY_PATH, Vocabulary};
-use bytes::{Bytes, BytesMut};
+use bytes::BytesMut;
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{Notify, mpsc, watch};
+use tokio::sync::{Notify, Semaphore, mpsc, watch};
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 use troutknot::WuId;
 
@@ -31,21 +32,62 @@
     pub events: mpsc::Sender<Event>,
     pub stage: watch::Receiver<Stage>,
     held: Rc<HeldBytes>,
-    /// Ids of open work units.
+    rings: Rc<HeldBytes>,
+    slow_bodies: Semaphore,
+    /// Ids of open work units, and of those that are over.
     ids: RefCell<HashSet<String>>,
+    past: RefCell<PastIds>,
     next_wu: Cell<u64>,
     next_connection: Cell<u64>,
-    /// Connections by their number, with what closes each while it is idle.
+    /// Connections by their number.
     open: RefCell<HashMap<u64, Rc<Standing>>>,
     ended: Notify,
 }
 
-#[derive(Default)]
+/// What tells who is closed to make room: by how a connection behaves alone.
 struct Standing {
-    idle_since: Cell<Option<Instant>>,
+    /// Since when a request is waited for; none while there is one.
+    waits: Cell<Option<Instant>>,
+    /// Whether a work unit ever came over it.
+    worked: Cell<bool>,
     close: Notify,
 }
 
+impl Standing {
+    /// Whether its first request is still waited for.
+    fn is_fresh(&self) -> bool {
+        !self.worked.get() && self.waits.get().is_some()
+    }
+}
+
+/// Ids of work units that were taken, as tokens; the older half is forgotten now and then.
+struct PastIds {
+    newer: HashSet<u64>,
+    older: HashSet<u64>,
+    turned: Instant,
+}
+
+impl PastIds {
+    /// False where it was taken before. Guards against a repeat of what has just ended, which may not run again.
+    fn take(&mut self, id: &str, limits: &Limits) -> bool {
+        if self.turned.elapsed() >= limits.longest || self.newer.len() >= limits.past_ids / 2 {
+            self.older = std::mem::take(&mut self.newer);
+            self.turned = Instant::now();
+        }
+        let id = troutknot_hosting::token(id);
+        !self.older.contains(&id) && self.newer.insert(id)
+    }
+}
+
+/// A request that came whole and can be taken.
+enum Came {
+    AsksReady,
+    Work { work: Work, left: Duration, keep: bool },
+}
+
+/// Why none came: a status that says what is wrong, or the client is gone.
+type NoneCame = Option<u16>;
+
 /// Whether a connection goes on after an answer.
 type Goes = bool;
 
@@ -56,18 +98,24 @@
         events: mpsc::Sender<Event>,
         stage: watch::Receiver<Stage>,
     ) -> Rc<Self> {
-        let held = HeldBytes::new(limits.held_bytes);
         Rc::new(Clients {
-            limits,
             words,
             events,
             stage,
-            held,
+            held: HeldBytes::new(limits.held_bytes),
+            rings: HeldBytes::new(limits.client_rings),
+            slow_bodies: Semaphore::new(limits.slow_bodies),
             ids: RefCell::default(),
+            past: RefCell::new(PastIds {
+                newer: HashSet::new(),
+                older: HashSet::new(),
+                turned: Instant::now(),
+            }),
             next_wu: Cell::new(0),
             next_connection: Cell::new(0),
             open: RefCell::default(),
             ended: Notify::new(),
+            limits,
         })
     }
 
@@ -77,13 +125,15 @@
 
     pub async fn accept(self: Rc<Self>, listener: TcpListener) {
         loop {
-            if self.connections() >= self.limits.clients + self.limits.turned_away {
-                let _ = timeout(self.limits.client_settle, self.ended.notified()).await;
-                self.close_longest_idle();
-                continue;
+            while self.connections() >= self.limits.clients + self.limits.turned_away {
+                self.make_room();
+                self.wait_for_an_end().await;
             }
             match listener.accept().await {
-                Ok((stream, _)) => self.take(stream),
+                Ok((stream, _)) => {
+                    let full = !self.room().await;
+                    self.take(stream, full);
+                }
                 Err(e) => {
                     // Out of descriptors, or a connection that broke before it was taken.
                     tracing::warn!("cannot accept: {e}");
@@ -93,15 +143,46 @@
         }
     }
 
-    fn take(self: &Rc<Self>, stream: TcpStream) {
-        let full = self.connections() >= self.limits.clients && !self.close_longest_idle();
+    async fn wait_for_an_end(&self) {
+        let _ = timeout(self.limits.fresh_settle / 4, self.ended.notified()).await;
+    }
+
+    /// Room for one more. Guards against crowds that connect and say nothing: as long as one of them may be
+    /// closed soon, a newcomer waits that moment and is not turned away.
+    async fn room(&self) -> bool {
+        while self.connections() >= self.limits.clients && !self.make_room() {
+            if !self.open.borrow().values().any(|s| s.is_fresh()) {
+                return false;
+            }
+            self.wait_for_an_end().await;
+        }
+        true
+    }
+
+    /// Closes the connection that has waited for a request for longest, among those over which no work unit
+    /// ever came if there are any. One that has only just come, or been answered, may have one on its way.
+    fn make_room(&self) -> bool {
+        let open = self.open.borrow();
+        let fresh = open.values().any(|s| s.is_fresh());
+        let settle = if fresh { self.limits.fresh_settle } else { self.limits.client_settle };
+        let settled = |s: &&Rc<Standing>| s.waits.get().is_some_and(|since| since.elapsed() >= settle);
+        let longest = open.values().filter(|s| s.is_fresh() == fresh).filter(settled);
+        let longest = longest.min_by_key(|s| s.waits.get());
+        longest.inspect(|s| s.waits.set(None)).inspect(|s| s.close.notify_one()).is_some()
+    }
+
+    fn take(self: &Rc<Self>, stream: TcpStream, full: bool) {
         let number = self.next_connection.get();
         self.next_connection.set(number + 1);
-        let standing = Rc::new(Standing::default());
+        let standing = Rc::new(Standing {
+            waits: Cell::new(Some(Instant::now())),
+            worked: Cell::new(false),
+            close: Notify::new(),
+        });
         self.open.borrow_mut().insert(number, standing.clone());
         let this = self.clone();
         tokio::task::spawn_local(async move {
-            let mut connection = Connection::new(stream, this.limits.ring);
+            let mut connection = Connection::new(stream, this.limits.ring, &this.rings);
             this.serve(&mut connection, &standing, full).await;
             drop(connection);
             this.open.borrow_mut().remove(&number);
@@ -109,41 +190,69 @@
         });
     }
 
-    /// Makes room for a newcomer; false where no connection is idle.
-    fn close_longest_idle(&self) -> bool {
-        let open = self.open.borrow();
-        // One that has only just come, or been answered, may have a request on its way.
-        let settled = |at: Instant| at.elapsed() >= self.limits.client_settle;
-        let idle = open.values().filter(|s| s.idle_since.get().is_some_and(settled));
-        let longest = idle.min_by_key(|s| s.idle_since.get());
-        longest.inspect(|s| s.idle_since.set(None)).inspect(|s| s.close.notify_one()).is_some()
-    }
-
     async fn serve(&self, connection: &mut Connection, standing: &Standing, full: bool) {
         let mut stage = self.stage.clone();
-        let most_idle = if full { self.limits.client_settle } else { self.limits.client_idle };
+        // Guards against clients that drip: the first request is due from when the connection came.
+        let first_due = Instant::now() + self.limits.client_wait;
         loop {
+            let worked = standing.worked.get();
             if !connection.has_input() {
                 connection.rest();
-                standing.idle_since.set(Some(Instant::now()));
+                let until = if worked { Instant::now() + self.limits.client_idle } else { first_due };
+                if worked {
+                    standing.waits.set(Some(Instant::now()));
+                }
                 let more = tokio::select! {
                     biased;
                     more = connection.read() => matches!(more, Ok(n) if n > 0),
                     () = standing.close.notified() => !connection.quiet(),
                     _ = stage.wait_for(|stage| *stage == Stage::Closing) => !connection.quiet(),
-                    () = sleep(most_idle) => false,
+                    () = sleep_until(until) => false,
                 };
-                standing.idle_since.set(None);
                 if !more {
                     return;
                 }
             }
-            let goes = match timeout(self.limits.client_wait, connection.request_head()).await {
-                Ok(Ok(Some(head))) => self.request(connection, head, full).await,
-                Ok(Ok(None)) => false,
-                Ok(Err(Failed::Bad(bad))) => self.reject(connection, bad.status()).await,
-                Ok(Err(_)) => false,
-                Err(_) => self.reject(connection, 408).await,
+            if worked {
+                standing.waits.set(None);
+            }
+            let due = if worked { Instant::now() + self.limits.client_wait } else { first_due };
+            let came = tokio::select! {
+                biased;
+                came = self.come(connection) => came,
+                () = standing.close.notified(), if !worked => Err(Some(408)),
+                () = sleep_until(due) => Err(Some(408)),
+            };
+            standing.waits.set(None);
+            let goes = match came {
+                Ok(Came::AsksReady) => {
+                    // Whoever asks that needs no connection afterwards.
+                    let ready = *self.stage.borrow() == Stage::Serving;
+                    self.write(connection, if ready { 200 } else { 503 }, false, &[], &[]).await;
+                    false
+                }
+                Ok(Came::Work { work, left, keep }) => {
+                    let (answer, room) = match self.open(work, left, full) {
+                        Ok((exchange, last)) => {
+                            standing.worked.set(true);
+                            let answer = self.wait(connection, &exchange, last).await;
+                            self.ids.borrow_mut().remove(&exchange.work.id);
+                            // Over its limit the node keeps no connection, so that those that wait are taken.
+                            (answer, self.connections() <= self.limits.clients)
+                        }
+                        Err(None) => {
+                            let soon = self.limits.full_come_back.as_secs_f64() * 1000.0;
+                            (Some(Answer::Deferred(Some(soon))), false)
+                        }
+                        Err(Some(status)) => return self.reject(connection, standing, status).await,
+                    };
+                    let Some(answer) = answer else { return };
+                    let keep = keep && room && *self.stage.borrow() != Stage::Closing;
+                    let (status, fields, result) = self.words.answer(&answer);
+                    self.write(connection, status, keep, &fields, &result).await && keep
+                }
+                Err(Some(status)) => return self.reject(connection, standing, status).await,
+                Err(None) => false,
             };
             if !goes {
                 return;
@@ -152,12 +261,15 @@
     }
 
     /// Says what is wrong and ends the connection, for what may still come cannot be told apart.
-    async fn reject(&self, connection: &mut Connection, status: u16) -> Goes {
+    async fn reject(&self, connection: &mut Connection, standing: &Standing, status: u16) {
         tracing::debug!("request answered {status}");
-        if self.write(connection, status, false, &[], &Bytes::new()).await {
-            connection.end(self.limits.tail_wait).await;
+        let fields = self.words.come_back(Some(self.limits.bad_come_back.as_secs_f64() * 1000.0));
+        if self.write(connection, status, false, &fields, &[]).await {
+            // A newcomer may wait for its end, and need not be turned away.
+            standing.worked.set(false);
+            standing.waits.set(Some(Instant::now()));
+            connection.end(self.limits.tail_wait, self.limits.scrap).await;
         }
-        false
     }
 
     async fn write(
@@ -167,67 +279,56 @@
         keep: bool,
         fields: &[(&str, String)],
         body: &[u8],
-    ) -> bool {
+    ) -> Goes {
         let head = http1::answer(status, body.len(), keep, fields);
         let parts: [&[u8]; 2] = [&head, body];
         matches!(timeout(self.limits.client_wait, connection.write(&parts)).await, Ok(Ok(())))
     }
 
-    async fn request(&self, connection: &mut Connection, mut head: RequestHead, full: bool) -> Goes {
+    /// Reads a request to its end.
+    async fn come(&self, connection: &mut Connection) -> Result<Came, NoneCame> {
+        let none = |why: Failed| if let Failed::Bad(bad) = why { Some(bad.status()) } else { None };
+        let mut head = connection.request_head().await.map_err(none)?.ok_or(None)?;
         if head.target == READY_PATH {
-            let ready = *self.stage.borrow() == Stage::Serving;
-            let keep = head.keep && head.body == http1::Body::Done && !full;
-            return self.write(connection, if ready { 200 } else { 503 }, keep, &[], &[]).await && keep;
+            return Ok(Came::AsksReady);
         }
-        let (mut work, left) = match self.words.work(&head) {
-            Ok(read) => read,
-            Err((status, why)) => {
-                tracing::debug!("not taken: {why}");
-                return self.reject(connection, status).await;
-            }
-        };
-        if head.asks_first && head.body != http1::Body::Done {
-            let welcome = connection.write(&[http1::GO_ON]);
-            if !matches!(timeout(self.limits.client_wait, welcome).await, Ok(Ok(()))) {
-                return false;
+        let (mut work, left) = self.words.work(&head).map_err(|(status, why)| {
+            tracing::debug!("not taken: {why}");
+            Some(status)
+        })?;
+        let (mut body, most) = (BytesMut::new(), self.limits.body);
+        let whole = connection.body_so_far(&mut head.body, &mut body, most);
+        if !whole.map_err(|bad| Some(bad.status()))? {
+            // Guards against many that send long bodies at leisure; most come whole with their heads.
+            let _slow = self.slow_bodies.try_acquire().map_err(|_| Some(503))?;
+            if head.asks_first {
+                connection.write(&[http1::GO_ON]).await.map_err(|_| None)?;
             }
+            connection.body(&mut head.body, &mut body, most, false).await.map_err(none)?;
         }
-        let mut body = BytesMut::new();
-        let whole = connection.body(&mut head.body, &mut body, self.limits.body, false);
-        match timeout(self.limits.client_wait, whole).await {
-            Ok(Ok(_)) => {}
-            Ok(Err(Failed::Bad(bad))) => return self.reject(connection, bad.status()).await,
-            Ok(Err(_)) => return false,
-            Err(_) => return self.reject(connection, 408).await,
-        }
-        let taken = Instant::now();
         work.body = body.freeze();
-        let id = work.id.clone();
-        if self.ids.borrow().contains(&id) {
-            // Guards against a second copy: this very work unit is open, so a repeat promises nothing.
-            return self.reject(connection, 409).await;
-        }
+        Ok(Came::Work { work, left, keep: head.keep })
+    }
+
+    /// Opens a work unit; else a status that says why not, or none where there is no room for it.
+    fn open(&self, work: Work, left: Duration, full: bool) -> Result<(Rc<Exchange>, Instant), Option<u16>> {
+        let (taken, id) = (Instant::now(), work.id.clone());
         let part = |margin: Duration, part: f64| left - margin.min(left.mul_f64(part));
         let limit = taken + part(self.limits.answer_margin, 0.2);
         let last = taken + part(self.limits.last_answer_margin, 0.1);
+        if self.ids.borrow().contains(&id) {
+            // Guards against a second copy: this very work unit is open, so a repeat promises nothing.
+            return Err(Some(409));
+        }
         let exchange =
             (!full).then(|| Exchange::new(WuId(self.next_wu.get()), work, limit, &self.held)).flatten();
-        let answer = match exchange {
-            None => Some(Answer::Deferred(None)),
-            Some(exchange) => {
-                self.next_wu.set(self.next_wu.get() + 1);
-                self.ids.borrow_mut().insert(id.clone());
-                let answer = self.wait(connection, &exchange, last).await;
-                self.ids.borrow_mut().remove(&id);
-                answer
-            }
-        };
-        let Some(answer) = answer else { return false };
-        // Over its limit the node keeps no connection, so that those that wait are taken.
-        let room = !full && self.connections() <= self.limits.clients;
-        let keep = head.keep && room && *self.stage.borrow() != Stage::Closing;
-        let (status, fields, result) = self.words.answer(&answer);
-        self.write(connection, status, keep, &fields, &result).await && keep
+        let exchange = exchange.ok_or(None)?;
+        if !self.past.borrow_mut().take(&id, &self.limits) {
+            return Err(Some(409));
+        }
+        self.next_wu.set(self.next_wu.get() + 1);
+        self.ids.borrow_mut().insert(id);
+        Ok((exchange, last))
     }
 
     /// Hands a work unit over and waits for its answer; none where the client left.
@@ -287,7 +388,7 @@
             let clients = &clients;
             let serve = async {
                 let (stream, _) = listener.accept().await.unwrap();
-                clients.take(stream);
+                clients.take(stream, false);
                 while clients.connections() > 0 {
                     sleep(Duration::from_millis(10)).await;
                 }
--- a/crates/daemon/src/exchange.rs
+++ b/crates/daemon/src/exchange.rs
@@ -1,5 +1,6 @@
 //! One work unit between the client that asked and the executors that may run it: the only place where the
 //! client side and the executor side meet.
+use crate::held::HeldBytes;
 use bytes::Bytes;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
@@ -31,30 +32,6 @@
     Aborted,
 }
 
-/// Bytes that all open work units hold, against the most that they may.
-pub struct HeldBytes {
-    held: Cell<usize>,
-    most: usize,
-}
-
-impl HeldBytes {
-    pub fn new(most: usize) -> Rc<Self> {
-        Rc::new(HeldBytes { held: Cell::new(0), most })
-    }
-
-    fn take(&self, n: usize) -> bool {
-        let fits = self.held.get() + n <= self.most;
-        if fits {
-            self.held.set(self.held.get() + n);
-        }
-        fits
-    }
-
-    fn give_back(&self, n: usize) {
-        self.held.set(self.held.get() - n);
-    }
-}
-
 pub struct Exchange {
     pub wu: WuId,
     pub work: Work,
--- a/crates/daemon/src/executors.rs
+++ b/crates/daemon/src/executors.rs
@@ -2,6 +2,7 @@
 //! tells it what came of it; what it may give a client goes into the exchange.
 use crate::driver::Event;
 use crate::exchange::{Answer, Exchange, Stop};
+use crate::held::HeldBytes;
 use crate::http1::{AnswerHead, Connection, Failed};
 use crate::limits::Limits;
 use crate::words::{self, Line, Vocabulary};
@@ -22,6 +23,7 @@
     pub events: mpsc::Sender<Event>,
     hosts: RefCell<Vec<Rc<Host>>>,
     open: Rc<Cell<usize>>,
+    rings: Rc<HeldBytes>,
 }
 
 /// One executor as the list last told it.
@@ -106,7 +108,8 @@
 
 impl Executors {
     pub fn new(limits: Rc<Limits>, words: Rc<Vocabulary>, events: mpsc::Sender<Event>) -> Rc<Self> {
-        Rc::new(Executors { limits, words, events, hosts: RefCell::default(), open: Rc::new(Cell::new(0)) })
+        let rings = HeldBytes::new(limits.executors * 2 * limits.ring);
+        Rc::new(Executors { limits, words, events, hosts: RefCell::default(), open: Rc::default(), rings })
     }
 
     /// What the list says of one executor. One that is not healthy is sent nothing after the wait.
@@ -167,7 +170,7 @@
         let mut made = Counted { connection: None, life: host.life.get(), open: self.open.clone() };
         match timeout(self.limits.connect_wait, TcpStream::connect(addr)).await {
             Ok(Ok(stream)) => {
-                made.connection = Some(Connection::new(stream, self.limits.ring));
+                made.connection = Some(Connection::new(stream, self.limits.ring, &self.rings));
                 Ok(made)
             }
             _ => Err(Outcome::NoConnection),
@@ -355,7 +358,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::exchange::{HeldBytes, Work};
+    use crate::exchange::Work;
     use bytes::Bytes;
     use socket2::{Domain, Socket, Type};
     use tokio::task::LocalSet;
--- /dev/null
+++ b/crates/daemon/src/held.rs
@@ -0,0 +1,30 @@
+//! Bytes that many hold together, against the most that they may.
+use std::cell::Cell;
+use std::rc::Rc;
+
+pub struct HeldBytes {
+    held: Cell<usize>,
+    most: usize,
+}
+
+impl HeldBytes {
+    pub fn new(most: usize) -> Rc<Self> {
+        Rc::new(HeldBytes { held: Cell::new(0), most })
+    }
+
+    pub fn fits(&self, n: usize) -> bool {
+        self.held.get() + n <= self.most
+    }
+
+    pub fn take(&self, n: usize) -> bool {
+        let fits = self.fits(n);
+        if fits {
+            self.held.set(self.held.get() + n);
+        }
+        fits
+    }
+
+    pub fn give_back(&self, n: usize) {
+        self.held.set(self.held.get() - n);
+    }
+}
--- a/crates/daemon/src/http1.rs
+++ b/crates/daemon/src/http1.rs
@@ -1,10 +1,12 @@
 //! HTTP/1.1 on a connection: heads, framing, and the socket with its two rings. What the heads mean to the
 //! dispatcher stands in `words.rs`.
+use crate::held::HeldBytes;
 use crate::ring::Ring;
 use bytes::{Bytes, BytesMut};
 use std::fmt;
 use std::io;
 use std::net::Shutdown;
+use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::time::timeout;
@@ -290,10 +292,10 @@
 }
 
 impl Connection {
-    pub fn new(stream: TcpStream, ring: usize) -> Self {
+    pub fn new(stream: TcpStream, ring: usize, held: &Rc<HeldBytes>) -> Self {
         // Messages are small and waited for; one that the system refuses this is served all the same.
         let _ = stream.set_nodelay(true);
-        Connection { stream, input: Ring::new(ring), output: Ring::new(ring) }
+        Connection { stream, input: Ring::new(ring, held), output: Ring::new(ring, held) }
     }
 
     /// Waits for more bytes; 0 says that the other side has ended its sending.
@@ -372,6 +374,11 @@
         }
     }
 
+    /// Takes what has come of a body with its head already; true with its end.
+    pub fn body_so_far(&mut self, body: &mut Body, out: &mut BytesMut, most: usize) -> Result<bool, Bad> {
+        body.take(&mut self.input, out, most)
+    }
+
     /// Reads on until the body's end or, with `line`, until `out` holds a whole line; true with the end.
     pub async fn body(
         &mut self,
@@ -413,16 +420,20 @@
         std::future::pending().await
     }
 
-    /// Ends the sending and reads on for a while, so that the last answer is not lost under what still comes.
-    pub async fn end(&mut self, wait: Duration) {
+    /// Ends the sending and waits a while for the other side to end too, so that the last answer is not lost
+    /// under what still comes. Of that no more than `most` is read: the rest of a huge body is not worth the work.
+    pub async fn end(&mut self, wait: Duration, most: usize) {
         let _ = socket2::SockRef::from(&self.stream).shutdown(Shutdown::Write);
         let rest = async {
-            loop {
+            let mut seen = 0;
+            while seen < most {
                 self.input.consume(self.input.len());
-                if !matches!(self.read().await, Ok(n) if n > 0) {
-                    return;
+                match self.read().await {
+                    Ok(n) if n > 0 => seen += n,
+                    _ => return,
                 }
             }
+            std::future::pending().await
         };
         let _ = timeout(wait, rest).await;
     }
@@ -496,7 +507,8 @@
             (chunked, "fffffffffffffffff\r\n", 5, Err(Bad::Malformed("odd chunk size"))),
         ] {
             for step in 1..=text.len() {
-                let (mut state, mut input, mut out) = (body, Ring::new(32), BytesMut::new());
+                let mut input = Ring::new(32, &HeldBytes::new(0));
+                let (mut state, mut out) = (body, BytesMut::new());
                 let mut got = Ok(false);
                 let mut left = text.as_bytes();
                 while got == Ok(false) && !left.is_empty() {
--- a/crates/daemon/src/limits.rs
+++ b/crates/daemon/src/limits.rs
@@ -1,4 +1,5 @@
 //! Sizes, counts and times that the node keeps to. They are filled once, at start, and handed down.
+use crate::ring::FIRST;
 use std::time::Duration;
 
 /// What the deployment states, from which the rest follows.
@@ -17,7 +18,11 @@
 pub struct Limits {
     /// Each ring buffer; a message's head must fit in one.
     pub ring: usize,
+    /// What the clients' rings hold beyond their first size, all together.
+    pub client_rings: usize,
     pub body: usize,
+    /// Bodies of clients that do not come whole with their heads; so many at once.
+    pub slow_bodies: usize,
     /// What clients sent for open work units, all together.
     pub held_bytes: usize,
     /// One line of the list.
@@ -33,11 +38,23 @@
     pub executors: usize,
     /// Events that may wait for the driver.
     pub events: usize,
-    /// How long a head or a body may take to come, and an answer to be taken.
+    /// The longest that a work unit may be open.
+    pub longest: Duration,
+    /// Ids of work units that are over and still kept in mind, half of them at least.
+    pub past_ids: usize,
+    /// How long a request may take to come, the first one from the connection on, and an answer to be taken.
     pub client_wait: Duration,
     pub client_idle: Duration,
-    /// A connection that is idle for less is not closed to make room.
+    /// To make room, no connection is closed sooner after it came, and none that a work unit came over sooner
+    /// after its last answer.
+    pub fresh_settle: Duration,
     pub client_settle: Duration,
+    /// How soon a client that the node has no room for may come back.
+    pub full_come_back: Duration,
+    /// The same for one that sent what cannot be taken.
+    pub bad_come_back: Duration,
+    /// Of what still comes after such a request so much is read.
+    pub scrap: usize,
     pub connect_wait: Duration,
     pub probe_wait: Duration,
     /// A node that was not run for longer has stood still, and what it knows may be old.
@@ -77,16 +94,19 @@
         let sockets = stated.sockets.clamp(64, 1 << 20) - SPARE;
         let memory = stated.memory_mb.clamp(16, 1 << 20) as usize * 1024 * 1024;
         let ring = 16 * 1024;
-        // A sixth of the memory for rings, two for each connection, and a sixth for what is held.
-        let connections = (sockets as usize).min(memory / 6 / (2 * ring));
+        let body = 64 * 1024;
+        let connections = (sockets as usize).min(memory / 8 / (2 * FIRST));
         let turned_away = (connections / 16).max(2);
-        let executors = (connections - turned_away) * 9 / 20;
+        // Clients that wait for an answer and those that only hold a connection share the rest.
+        let executors = (connections / 3).min(memory / 4 / (2 * body)).max(2);
         let clients = connections - turned_away - executors;
         let part = |whole: Duration, of: f64| whole.mul_f64(of);
         let connect_wait = stated.connect_wait.unwrap_or(Duration::from_secs(1));
         Limits {
             ring,
-            body: 64 * 1024,
+            client_rings: memory / 12,
+            body,
+            slow_bodies: memory / 16 / body,
             held_bytes: memory / 6,
             list_line: (memory / 32).min(8 * 1024 * 1024),
             known: memory / 12_288,
@@ -95,9 +115,15 @@
             backlog: 1024,
             executors,
             events: 4096,
-            client_wait: Duration::from_secs(5),
+            longest: stated.longest,
+            past_ids: memory / 4096,
+            client_wait: Duration::from_secs(2),
             client_idle: Duration::from_secs(120),
+            fresh_settle: Duration::from_millis(150),
             client_settle: Duration::from_secs(1),
+            full_come_back: Duration::from_millis(50),
+            bad_come_back: Duration::from_secs(1),
+            scrap: 64 * 1024,
             connect_wait,
             probe_wait: connect_wait,
             standstill: Duration::from_millis(100),
@@ -121,13 +147,15 @@
 
 #[test]
 fn connections_and_memory_stay_within_what_is_stated() {
-    for (memory_mb, sockets) in [(192, 1024), (16, 64), (64, 100_000), (2048, 4096), (0, 0)] {
+    for (memory_mb, sockets) in [(192, 1024), (16, 64), (64, 100_000), (2048, 4096), (32, 1024), (0, 0)] {
         let l = Limits::of(&Stated { memory_mb, sockets, ..Stated::default() });
         let connections = l.clients + l.turned_away + l.executors;
         assert!(connections as u64 + SPARE <= sockets.max(64), "{l:?}");
-        // Rings, open work units, bodies on their way in, results, a list, and about 640 bytes an executor.
-        let bodies = l.held_bytes + l.clients * l.body + 2 * l.executors * l.body;
-        let held = connections * 2 * l.ring + bodies + l.list_line + l.known * 640;
+        // Open work units, bodies on their way in, results; rings; ids, a list, and about 640 bytes an executor.
+        let bodies = l.held_bytes + 2 * l.slow_bodies * l.body + 2 * l.executors * l.body;
+        let clients_rings = (l.clients + l.turned_away) * 2 * FIRST + l.client_rings;
+        let rings = clients_rings + l.executors * 2 * l.ring;
+        let held = bodies + rings + l.past_ids * 24 + l.list_line + l.known * 640;
         assert!(held <= memory_mb.max(16) as usize * 1024 * 1024 * 9 / 10, "{held} {l:?}");
         assert!(l.clients > 0 && l.turned_away > 0 && l.executors > 0);
     }
--- a/crates/daemon/src/list.rs
+++ b/crates/daemon/src/list.rs
@@ -1,5 +1,6 @@
 //! Follows the list of executors: one watch at a time, opened when the dispatcher asks for it.
 use crate::driver::Event;
+use crate::held::HeldBytes;
 use crate::http1::{Connection, Failed};
 use crate::limits::Limits;
 use crate::words::{self, List, Vocabulary};
@@ -85,7 +86,7 @@
         let silent = |_| "silent for too long".to_string();
         let stream = timeout(self.limits.connect_wait, TcpStream::connect(discovery)).await;
         let stream = stream.map_err(silent)?.map_err(|e| e.to_string())?;
-        let mut connection = Connection::new(stream, self.limits.ring);
+        let mut connection = Connection::new(stream, self.limits.ring, &HeldBytes::new(2 * self.limits.ring));
         let ask = self.words.watch(discovery, versions.known);
         connection.write(&[ask.as_bytes()]).await.map_err(|e| e.to_string())?;
         let said = |e: Failed| e.to_string();
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -5,6 +5,7 @@
 mod driver;
 mod exchange;
 mod executors;
+mod held;
 mod http1;
 mod limits;
 mod list;
--- a/crates/daemon/src/ring.rs
+++ b/crates/daemon/src/ring.rs
@@ -1,8 +1,10 @@
 //! The ring buffer that stands between a socket and the codec, one a direction of each connection.
+use crate::held::HeldBytes;
 use std::io::{self, IoSlice, IoSliceMut};
+use std::rc::Rc;
 
-/// The first size that is taken; it doubles up to the most as bytes pile up.
-const FIRST: usize = 2048;
+/// The first size that is taken, which every ring may have; it doubles up to the most as bytes pile up.
+pub const FIRST: usize = 2048;
 
 /// Bytes in the order they came, never more than a fixed number. An empty ring holds no memory for long.
 pub struct Ring {
@@ -10,11 +12,29 @@
     start: usize,
     len: usize,
     most: usize,
+    /// What this ring and others hold beyond their first size, all together.
+    held: Rc<HeldBytes>,
+}
+
+impl Drop for Ring {
+    fn drop(&mut self) {
+        self.held.give_back(self.beyond_first());
+    }
 }
 
 impl Ring {
-    pub fn new(most: usize) -> Self {
-        Ring { store: Vec::new(), start: 0, len: 0, most }
+    pub fn new(most: usize, held: &Rc<HeldBytes>) -> Self {
+        Ring { store: Vec::new(), start: 0, len: 0, most, held: held.clone() }
+    }
+
+    fn beyond_first(&self) -> usize {
+        self.store.len().saturating_sub(FIRST)
+    }
+
+    /// The size that it grows to next, and how much more of what is held together that takes.
+    fn next_size(&self) -> (usize, usize) {
+        let size = (2 * self.store.len()).clamp(FIRST.min(self.most), self.most);
+        (size, size.saturating_sub(FIRST) - self.beyond_first())
     }
 
     pub fn len(&self) -> usize {
@@ -25,13 +45,15 @@
         self.len == 0
     }
 
+    /// Whether no more fits: it has its most, or may not grow as others hold too much.
     pub fn is_full(&self) -> bool {
-        self.len == self.most
+        self.len == self.most || (self.len == self.store.len() && !self.held.fits(self.next_size().1))
     }
 
     /// Gives the memory of an empty ring back, for connections that may stand idle for long.
     pub fn release(&mut self) {
         if self.len == 0 {
+            self.held.give_back(self.beyond_first());
             (self.store, self.start) = (Vec::new(), 0);
         }
     }
@@ -53,6 +75,9 @@
 
     /// Takes as many of these bytes as there is room for.
     pub fn push(&mut self, bytes: &[u8]) -> usize {
+        if self.is_full() {
+            return 0;
+        }
         let taken = self.read_from(|parts| {
             let mut taken = 0;
             for part in parts {
@@ -73,10 +98,14 @@
         read: impl FnOnce(&mut [IoSliceMut]) -> io::Result<usize>,
     ) -> io::Result<usize> {
         if self.len == self.store.len() && self.len < self.most {
+            let (size, more) = self.next_size();
+            if !self.held.take(more) {
+                return Err(io::ErrorKind::OutOfMemory.into());
+            }
             self.bytes();
             self.store.rotate_left(self.start);
             self.start = 0;
-            self.store.resize((2 * self.len).clamp(FIRST.min(self.most), self.most), 0);
+            self.store.resize(size, 0);
         }
         let (size, end) = (self.store.len(), self.start + self.len);
         let n = if self.len == size {
@@ -107,7 +136,8 @@
 #[test]
 fn keeps_order_across_the_seam_and_never_grows_past_its_most() {
     for most in [1, 7, 2048, 5000] {
-        let mut ring = Ring::new(most);
+        let held = HeldBytes::new(16 * 1024);
+        let mut ring = Ring::new(most, &held);
         let (mut put, mut got) = (0u32, 0u32);
         for step in 0..5000usize {
             let wanted: Vec<u8> = (0..(step * 7919) % 97).map(|k| (put + k as u32) as u8).collect();
@@ -134,4 +164,12 @@
         ring.release();
         assert_eq!(ring.store.capacity(), 0);
     }
+    // Guards against many that grow at once: what two rings hold beyond their first size is bounded.
+    let held = HeldBytes::new(FIRST);
+    let [mut one, mut two] = [0, 1].map(|_| Ring::new(16 * 1024, &held));
+    let much = [7; 3 * FIRST];
+    assert_eq!((one.push(&much), two.push(&much)), (2 * FIRST, FIRST));
+    assert!(one.is_full() && two.is_full());
+    drop(one);
+    assert_eq!((two.push(&much), two.is_full()), (FIRST, true));
 }
--- a/crates/daemon/src/words.rs
+++ b/crates/daemon/src/words.rs
@@ -48,7 +48,8 @@
     kinds: Vec<String>,
     /// The longest that a client waits for each project type.
     limits: Vec<Duration>,
-    longest_come_back: Option<Millis>,
+    come_back_told: bool,
+    longest_come_back: Millis,
     probe_path: &'static str,
 }
 
@@ -80,9 +81,8 @@
             places: names(settings.get("failure_domains")),
             kinds: names(settings.get("kinds")),
             limits: limits.into_iter().map(|l| Duration::from_secs_f64(l / 1000.0)).collect(),
-            longest_come_back: values
-                .holds("limits.longest_come_back")
-                .then(|| values.number("limits.longest_come_back", 0.0)),
+            come_back_told: values.flag("limits.come_back_told"),
+            longest_come_back: values.number("limits.longest_come_back", f64::INFINITY),
             probe_path: if reports { REPORT_PATH } else { PROBE_PATH },
         })
     }
@@ -96,6 +96,9 @@
     /// the status that says what is wrong with it.
     pub fn work(&self, head: &RequestHead) -> Result<(Work, Duration), (u16, &'static str)> {
         let one = |name: &str| head.headers.one(name).map_err(|_| (400, "odd header"));
+        if !head.target.bytes().all(|b| b.is_ascii_graphic()) {
+            return Err((400, "odd target"));
+        }
         let path = head.target.split('?').next().unwrap_or("");
         let first = path.strip_prefix('/').ok_or((400, "odd target"))?.split('/').next().unwrap_or("");
         let named = place_of(first, &self.project_types).ok_or((404, "unknown path"))?;
@@ -115,9 +118,10 @@
         let longest = self.limits[named as usize];
         let left = match one(PATIENCE)? {
             Some(text) => {
-                let seconds = text.parse::<f64>().ok().filter(|s| s.is_finite() && *s > 0.0);
-                let seconds = seconds.ok_or((400, "odd time to wait"))?;
-                longest.min(Duration::from_secs_f64(seconds.min(1e6)))
+                // Guards against times that are no decimal number or absurd, which executors turn away.
+                let decimal = text.bytes().all(|b| b.is_ascii_digit() || b == b'.');
+                let seconds = text.parse::<f64>().ok().filter(|s| decimal && *s > 0.0 && *s < 1e6);
+                longest.min(Duration::from_secs_f64(seconds.ok_or((400, "odd time to wait"))?))
             }
             None => longest,
         };
@@ -162,10 +166,11 @@
         }
     }
 
-    fn come_back(&self, wait: Option<Millis>) -> Vec<(&'static str, String)> {
-        let longest = self.longest_come_back.unwrap_or(f64::INFINITY);
-        let told = |w: Millis| ("Retry-After", format!("{:.3}", w.min(longest).max(0.0) / 1000.0));
-        wait.map(told).into_iter().collect()
+    /// The field that tells a client when to come back, where the settings allow that.
+    pub fn come_back(&self, wait: Option<Millis>) -> Vec<(&'static str, String)> {
+        let told = |w: Millis| format!("{:.3}", w.min(self.longest_come_back).max(0.0) / 1000.0);
+        let wait = wait.filter(|_| self.come_back_told);
+        wait.map(|w| ("Retry-After", told(w))).into_iter().collect()
     }
 
     /// The head that hands a work unit to an executor, which hears how long this node will wait.
--- a/crates/daemon/tests/node.rs
+++ b/crates/daemon/tests/node.rs
@@ -333,6 +333,12 @@
     )
 }
 
+/// An id that no test has used yet.
+fn new_id() -> String {
+    static NUMBER: AtomicU32 = AtomicU32::new(0);
+    format!("new-{}", NUMBER.fetch_add(1, Ordering::Relaxed))
+}
+
 fn one_executor() -> (Executor, Discovery) {
     let executor = Executor::start();
     let discovery = Discovery::start(list(7, true, &[entry("s-1", &executor, "Ready")]));
@@ -410,6 +416,8 @@
         ("odd id", good.replace("Request-Id: 1", "Request-Id: 1 2"), 400),
         ("odd wait", good.replace("Timeout: 3", "Timeout: soon"), 400),
         ("endless wait", good.replace("Timeout: 3", "Timeout: inf"), 400),
+        ("absurd wait", good.replace("Timeout: 3", "Timeout: 99999999999999999999999"), 400),
+        ("no decimal wait", good.replace("Timeout: 3", "Timeout: 1e3"), 400),
         ("negative wait", good.replace("Timeout: 3", "Timeout: -3"), 400),
         ("odd figures", good.replace("X-Other", "Request-Info: slots=NaN\r\nX-Other"), 400),
         ("unknown path", good.replace("/render/a", "/elsewhere"), 404),
@@ -417,7 +425,13 @@
         ("two types", good.replace("Class: render", "Class: publish"), 400),
         ("no POST", good.replace("POST", "PUT"), 405),
     ] {
-        assert_eq!(node.ask(&request).0, status, "{what}");
+        // A good id is new each time.
+        let request =
+            request.replace("Request-Id: 1\r", &format!("Request-Id: {}\r", what.replace(' ', "-")));
+        let (got, (head, _)) = node.ask(&request);
+        assert_eq!(got, status, "{what}");
+        let come_back = field(&head, "retry-after").and_then(|text| text.parse::<f64>().ok());
+        assert_eq!(come_back.is_some(), status != 200, "{what}: a time to come back");
     }
     let mut half = node.connect();
     half.get_mut().write_all(&good.as_bytes()[..40]).unwrap();
@@ -432,6 +446,67 @@
     assert_eq!(node.ask(work("publish", "9", 3.0, "")).0, 409, "an id that is open is not run twice");
     executor.go_on.send(()).unwrap();
     assert_eq!(answer(&mut first).0, 200);
+    assert_eq!(node.ask(work("publish", "9", 3.0, "")).0, 409, "nor one that was taken before");
+    assert_eq!(executor.seen.lock().unwrap().len(), before + 1);
+}
+
+#[test]
+fn whoever_sends_no_request_is_closed_in_time_however_it_drips() {
+    let (_executor, discovery) = one_executor();
+    let node = Node::start(&discovery);
+    let good = work("render", "1", 3.0, "ab");
+    let huge = good.replace("Content-Length: 2", "Content-Length: 60000000");
+    // What is sent at once, what drips then without end, and the status, if one is owed.
+    let cases: &[(&str, &str, &str)] = &[
+        ("", "", ""),
+        ("", "\r\n", ""),
+        ("POST /render HTTP/1.1\r\n", "X: y\r\n", "HTTP/1.1 408"),
+        (&good[..good.len() - 2], "", "HTTP/1.1 408"),
+        (
+            &good.replace("Content-Length: 2", "Transfer-Encoding: chunked")[..good.len() - 2],
+            "1\r\na\r\n",
+            "HTTP/1.1 4",
+        ),
+        (&huge, "xxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxx", "HTTP/1.1 413"),
+    ];
+    let addr = node.addr;
+    let drip = |(at_once, then, status): &(&str, &str, &str)| {
+        let (start, stream) = (Instant::now(), TcpStream::connect(addr).unwrap());
+        let mut connection = BufReader::new(stream);
+        let _ = connection.get_mut().write_all(at_once.as_bytes());
+        let mut got = Vec::new();
+        connection.get_mut().set_read_timeout(Some(Duration::from_millis(50))).unwrap();
+        // Until it is closed; while nothing comes, one more piece is sent.
+        while let Err(e) = connection.read_to_end(&mut got) {
+            if e.kind() != std::io::ErrorKind::WouldBlock {
+                break;
+            }
+            let _ = connection.get_mut().write_all(then.as_bytes());
+        }
+        assert!(start.elapsed() < Duration::from_secs(3), "{at_once:?} {then:?}");
+        let got = String::from_utf8(got).unwrap();
+        assert!(got.starts_with(status), "{at_once:?} {then:?}: {got}");
+    };
+    thread::scope(|all| cases.iter().for_each(|case| _ = all.spawn(|| drip(case))));
+}
+
+#[test]
+fn crowds_that_hold_connections_do_not_keep_usual_clients_out() {
+    let (_executor, discovery) = one_executor();
+    let node = Node::start_with(&discovery, (64, 64), settings(), "info");
+    // Before each crowd one that works, so that it is known; then more than the node may hold.
+    let mut usual = node.connect();
+    for (round, said) in ["", HEALTH, "POST /render HT"].into_iter().enumerate() {
+        assert_eq!(ask(&mut usual, work("render", &format!("a{round}"), 3.0, "")).0, 200);
+        let crowd: Vec<_> = (0..100).map(|_| node.connect()).collect();
+        crowd.iter().for_each(|c| c.get_ref().write_all(said.as_bytes()).unwrap());
+        let start = Instant::now();
+        for k in 0..5 {
+            assert_eq!(node.ask(work("render", &format!("b{round}-{k}"), 3.0, "")).0, 200, "{said}");
+        }
+        assert!(start.elapsed() < Duration::from_secs(2), "{said}: before the crowd's own time is over");
+        assert_eq!(ask(&mut usual, work("render", &format!("c{round}"), 3.0, "")).0, 200, "{said}");
+    }
 }
 
 #[test]
@@ -494,7 +569,7 @@
     assert!(asked.ends_with("&index=7 HTTP/1.1"), "the list is kept: {asked}");
     second.lines.send(list(9, false, &[entry("s-1", &old, "Terminating")])).unwrap();
     until("the new list is used", || {
-        assert_eq!(node.ask(work("render", "2", 3.0, "")).0, 200);
+        assert_eq!(node.ask(work("render", &new_id(), 3.0, "")).0, 200);
         !new.seen.lock().unwrap().is_empty()
     });
     node.terminate();
@@ -518,12 +593,12 @@
     // A silent machine may have run what it was sent over the connection that it had.
     assert_eq!(node.ask(work("publish", "2", 0.5, "")).0, 502);
     one.mute.store(false, Ordering::Relaxed);
-    until("it is back", || node.ask(work("publish", "back", 3.0, "")).0 == 200);
+    until("it is back", || node.ask(work("publish", &new_id(), 3.0, "")).0 == 200);
     discovery.lines.send(list(8, true, &[dead.clone()])).unwrap();
     // Nothing ever ran, so even exclusive work is deferred, and in time.
-    until("it is deferred", || node.ask(work("publish", "gone", 3.0, "")).0 == 503);
+    until("it is deferred", || node.ask(work("publish", &new_id(), 3.0, "")).0 == 503);
     discovery.lines.send(list(9, true, &[entry("s-1", &one, "Ready"), dead])).unwrap();
-    until("it is back", || node.ask(work("publish", "back", 3.0, "")).0 == 200);
+    until("it is back", || node.ask(work("publish", &new_id(), 3.0, "")).0 == 200);
 }
 
 #[test]
@@ -535,9 +610,10 @@
     let mut leaves = node.connect();
     leaves.get_mut().write_all(work("render", "1", 30.0, "").as_bytes()).unwrap();
     executor.wait_for(1);
+    let descriptors = || std::fs::read_dir(format!("/proc/{}/fd", node.process.id())).unwrap().count();
+    let with_it = descriptors();
     drop(leaves);
-    // Its id is free again once the node has seen that.
-    until("the node sees that the client left", || node.ask(work("render", "1", 30.0, "")).0 != 409);
+    until("the node sees that the client left", || descriptors() < with_it);
     let before = executor.seen.lock().unwrap().len();
     executor.go_on.send(()).unwrap();
     assert_eq!(node.ask(work("render", "2", 30.0, "")).0, 200);
@@ -625,7 +701,7 @@
         assert!(most <= memory_mb * 1024, "{most} kB of {memory_mb} MB");
         drop(connections);
         // It serves on once it has seen that they are gone; until then it may say that it is full.
-        until("it serves on", || node.ask(work("render", "x", 3.0, "")).0 == 200);
+        until("it serves on", || node.ask(work("render", &new_id(), 3.0, "")).0 == 200);
     }
 }
 
