No more probes once an emptier executor would not be worth the price of one

Checked: of the d drawn one after another the rest are passed over only where no own work is out (Dispatcher::on_probed); with one or two nodes own work is out nearly everywhere, so all are probed. Change: also where so many slots are free that an emptier executor would not be worth the price of a probe. Readings that do not show slots change nothing.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -3,8 +3,6 @@
 //! How to call it: `Dispatcher::new(values, seed, now)`, then `tell(now, event)` for each event of a moment
 //! and one `emit(now, &mut actions)` after them. `tell` only changes what is wanted; `emit` alone works out
 //! the difference to what is out, held and timed. The interface (events, actions, ids) stands in `terms.rs`.
-//!
-//! Order of reading: what is known (`ProjectType`, `Fleet`, `Wu`), `tell`, rules, `draw`, `choose`, `emit`.
 use crate::terms::*;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -30,8 +28,7 @@
 /// Distrust fades by this time constant; a running time over the usual adds so much of its logarithm to it.
 const DISTRUST_FADE: Millis = 4000.0;
 const SLOW_DISTRUST: f64 = 0.7;
-/// So many outcomes say enough: past them each one more takes the place of one, so that a score tells how an
-/// executor does and not how much it does.
+/// Past so many outcomes each one more takes the place of one: a score tells how and not how much is done.
 const ENOUGH: f64 = 12.0;
 /// Part of the cold budget that is used, as only mean running times are known; to so many nodes it is dealt.
 const COLD_HEADROOM: f64 = 0.8;
@@ -45,6 +42,8 @@
 const SPAN: Millis = 2000.0;
 const LEAST_SAVED: f64 = 3.0;
 const PICKS: usize = 40;
+/// What it gains to find all slots of an executor free and not none, in what a probe may cost.
+const EMPTIER: f64 = 60.0;
 
 struct ProjectType {
     effect: Effect,
@@ -493,9 +492,11 @@
                 continue;
             }
             w.answers.extend(answer.map(|(_, reading)| (executor, reading)));
-            // With no queue, no crossing and no own work, those still to be probed could at best tie.
+            // With no queue, no crossing and no own work, those still to be probed could at best tie; else what
+            // an emptier one would gain must be worth its price.
             let rank = answer.map(|(_, reading)| self.rank(now, &self.wus[&wu], executor, &reading));
-            let best = self.fleet.own_out[e] < 0.5 && rank.is_some_and(|r| r.0 < 0.5 && !r.1);
+            let roomy = |r: (f64, bool, f64)| (1.0 - EMPTIER * self.monitoring.price..=1.0).contains(&-r.2);
+            let best = rank.is_some_and(|r| r.0 < 0.5 && !r.1 && (self.fleet.own_out[e] < 0.5 || roomy(r)));
             if best { self.choose(now, wu) } else { self.probe_next(now, wu) }
         }
     }
--- a/tests/helpers/mod.rs
+++ b/tests/helpers/mod.rs
@@ -14,6 +14,10 @@
 
 /// The same, told its own number among the nodes.
 pub fn node_of(nodes: f64, me: Option<f64>) -> Node {
+    with(values_of(nodes, me))
+}
+
+pub fn values_of(nodes: f64, me: Option<f64>) -> NamedValues {
     let mut values = NamedValues::default();
     let kinds = [("rerunnable", ""), ("receipted", "all"), ("receipted", "group"), ("exclusive", "")];
     for (k, (effect, scope)) in kinds.iter().enumerate() {
@@ -48,7 +52,7 @@
         values.insert("node", Given::Number(me));
     }
     values.insert("credit_over_share", Given::Number(0.2));
-    with(values)
+    values
 }
 
 pub fn with(values: NamedValues) -> Node {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -426,3 +426,42 @@
     }
     assert!(sent[3] < 50 && sent[..3].iter().all(|&n| n > 200), "{sent:?} of 1000 by executor");
 }
+
+/// A probe has its price: a node alone, with own work nearly everywhere, must not pay for every one drawn.
+#[test]
+fn no_more_probes_once_an_emptier_executor_is_not_worth_the_price() {
+    // The price, the free slots that each of eight shows besides one own job, and whether one probe is enough.
+    for (price, free, enough) in
+        [(0.01, 3.0, true), (0.01, 1.0, false), (0.001, 3.0, false), (0.0, 3.0, false)]
+    {
+        let mut values = values_of(1.0, None);
+        values.insert("prices.probe", Given::Number(price));
+        let mut node = with(values);
+        node.warm(8);
+        let (mut own, mut probes) = ([false; 8], 0);
+        for k in 0..400 {
+            node.now += 1000.0;
+            let free_slots = Some(if own == [true; 8] { free } else { 4.0 });
+            let (wu, mut actions) = node.arrive(0);
+            let probe = |actions: &[Action]| {
+                actions.iter().find_map(|a| match a {
+                    Action::Probe { executor } => Some(*executor),
+                    _ => None,
+                })
+            };
+            while let Some(executor) = probe(&actions) {
+                probes += u32::from(k >= 300);
+                let reading = Reading { queue: Some(0.0), free_slots, ..Reading::default() };
+                actions = node.tell(Event::Probed { executor, answered: true, lag: 1.0, reading });
+            }
+            // One job stays at each executor, the others end.
+            let executor = push_of(&actions).unwrap().0 as usize;
+            if std::mem::replace(&mut own[executor], true) {
+                node.end(wu, 0, Outcome::Completed);
+            }
+        }
+        assert!(own == [true; 8]);
+        let expected = if enough { 100..=100 } else { 150..=300 };
+        assert!(expected.contains(&probes), "{probes} for 100, price {price}, {free} free");
+    }
+}
