--- a/crates/daemon/src/clients.rs
+++ b/crates/daemon/src/clients.rs
@@ -68,7 +68,7 @@
 }
 
 impl PastIds {
-    /// False where it was taken before. Guards against a repeat of what has just ended, which may not run again.
+    /// False where it was taken before. Guards against a repeat of what has just ended.
     fn take(&mut self, id: &str, limits: &Limits) -> bool {
         if self.turned.elapsed() >= limits.longest || self.newer.len() >= limits.past_ids / 2 {
             self.older = std::mem::take(&mut self.newer);
--- a/crates/daemon/src/http1.rs
+++ b/crates/daemon/src/http1.rs
@@ -421,7 +421,7 @@
     }
 
     /// Ends the sending and waits a while for the other side to end too, so that the last answer is not lost
-    /// under what still comes. Of that no more than `most` is read: the rest of a huge body is not worth the work.
+    /// under what still comes. Of that no more than `most` is read: the rest of a huge body is not worth it.
     pub async fn end(&mut self, wait: Duration, most: usize) {
         let _ = socket2::SockRef::from(&self.stream).shutdown(Shutdown::Write);
         let rest = async {
--- a/crates/daemon/src/limits.rs
+++ b/crates/daemon/src/limits.rs
@@ -152,7 +152,7 @@
         let l = Limits::of(&Stated { memory_mb, sockets, ..Stated::default() });
         let connections = l.clients + l.turned_away + l.executors;
         assert!(connections as u64 + SPARE <= sockets.max(64), "{l:?}");
-        // Open work units, bodies on their way in, results; rings; ids, a list, and about 640 bytes an executor.
+        // Open work units, bodies on their way in, results; rings; ids, a list, and the executors known.
         let bodies = l.held_bytes + 2 * l.slow_bodies * l.body + 2 * l.executors * l.body;
         let clients_rings = (l.clients + l.turned_away) * 2 * FIRST + l.client_rings;
         let rings = clients_rings + l.executors * 2 * l.ring;
--- a/crates/daemon/src/list.rs
+++ b/crates/daemon/src/list.rs
@@ -103,8 +103,8 @@
             let ended = timeout(silence, more).await.map_err(silent)?.map_err(said)?;
             while let Some(line) = words::next_line(&mut buffer, false) {
                 let list: List = serde_json::from_slice(&line).map_err(|e| format!("garbage: {e}"))?;
-                // Guards against a move to another address between the two: a version that counts as known has
-                // been told.
+                // Guards against a move to another address between the two: a version that counts as known
+                // has been told.
                 let told = self.events.reserve().await.map_err(|_| "the node ends".to_string())?;
                 let news = versions.take(&list, first);
                 first = false;
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -492,8 +492,8 @@
                 continue;
             }
             w.answers.extend(answer.map(|(_, reading)| (executor, reading)));
-            // With no queue, no crossing and no own work, those still to be probed could at best tie; else what
-            // an emptier one would gain must be worth its price.
+            // With no queue, no crossing and no own work, those still to be probed could at best tie; else
+            // what an emptier one would gain must be worth its price.
             let rank = answer.map(|(_, reading)| self.rank(now, &self.wus[&wu], executor, &reading));
             let roomy = |r: (f64, bool, f64)| (1.0 - EMPTIER * self.monitoring.price..=1.0).contains(&-r.2);
             let best = rank.is_some_and(|r| r.0 < 0.5 && !r.1 && (self.fleet.own_out[e] < 0.5 || roomy(r)));
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -430,7 +430,7 @@
 /// A probe has its price: a node alone, with own work nearly everywhere, must not pay for every one drawn.
 #[test]
 fn no_more_probes_once_an_emptier_executor_is_not_worth_the_price() {
-    // The price, the free slots that each of eight shows besides one own job, and whether one probe is enough.
+    // The price, the free slots that each of eight shows besides an own job, and whether one probe is enough.
     for (price, free, enough) in
         [(0.01, 3.0, true), (0.01, 1.0, false), (0.001, 3.0, false), (0.0, 3.0, false)]
     {
