The daemon becomes a library; events and stages leave the circle of the sides

Need: a kit must start nodes as processes of its own from a second binary, and the client side, the driver and the executor side imported each other in a circle (Event was the driver's, Stage the client side's).

Change: crates/daemon is the library troutknot_daemon with a thin troutknotd; Event stands in events.rs, Stage in stage.rs; clients/, executors/ and lists/ are rooms. No behaviour changes.

--- a/crates/daemon/src/briefing.rs
+++ b/crates/daemon/src/briefing.rs
@@ -3,6 +3,7 @@
 use serde::Deserialize;
 use std::io::Read;
 use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
 use tokio::signal::unix::Signal;
 use tokio::sync::watch;
 use troutknot::NamedValues;
@@ -36,13 +37,12 @@
 }
 
 impl Briefing {
-    pub fn read() -> Result<Self, String> {
-        let path = std::env::var("ROUTER_CONFIG").map_err(|_| "ROUTER_CONFIG is not set")?;
+    pub fn read(path: &Path) -> Result<Self, String> {
+        let shown = path.display();
         let mut text = String::new();
-        let read =
-            std::fs::File::open(&path).and_then(|file| file.take(MOST_BYTES).read_to_string(&mut text));
-        read.map_err(|e| format!("cannot read `{path}`: {e}"))?;
-        serde_json::from_str(&text).map_err(|e| format!("`{path}`: {e}"))
+        let read = std::fs::File::open(path).and_then(|file| file.take(MOST_BYTES).read_to_string(&mut text));
+        read.map_err(|e| format!("cannot read `{shown}`: {e}"))?;
+        serde_json::from_str(&text).map_err(|e| format!("`{shown}`: {e}"))
     }
 
     pub fn understood(&self) -> Result<Understood, String> {
@@ -65,10 +65,10 @@
     }
 
     /// Reads the file again at each signal, until the node's end, and says which list is to be followed.
-    pub async fn reread(self, mut asked: Signal, discovery: watch::Sender<SocketAddr>) {
+    pub async fn reread(self, path: PathBuf, mut asked: Signal, discovery: watch::Sender<SocketAddr>) {
         while asked.recv().await.is_some() {
             // Guards against a new file that is bad: the node goes on as it was.
-            match Briefing::read().and_then(|newer| newer.understood().map(|_| newer)) {
+            match Briefing::read(&path).and_then(|newer| newer.understood().map(|_| newer)) {
                 Err(why) => tracing::warn!("new configuration not taken, the old one goes on: {why}"),
                 Ok(newer) => {
                     let kept = self.kept(&newer).join(", ");
--- a/crates/daemon/src/clients.rs
+++ b/crates/daemon/src/clients/mod.rs
@@ -1,9 +1,10 @@
 //! The client side: accepts connections, takes work units in, and writes each its one final answer.
-use crate::driver::Event;
+use crate::events::Event;
 use crate::exchange::{Answer, Exchange, Work};
 use crate::held::HeldBytes;
 use crate::http1::{self, Connection, Failed};
 use crate::limits::Limits;
+use crate::stage::Stage;
 use crate::words::{READY_PATH, Vocabulary};
 use bytes::BytesMut;
 use std::cell::{Cell, RefCell};
@@ -15,17 +16,6 @@
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 use troutknot::WuId;
 
-/// How far the node is on its way out.
-#[derive(Clone, Copy, PartialEq, Debug)]
-pub enum Stage {
-    Starting,
-    Serving,
-    /// Asked to end: all goes on, but no front should take it in.
-    Leaving,
-    /// Idle connections close, and each other one after its answer.
-    Closing,
-}
-
 pub struct Clients {
     pub limits: Rc<Limits>,
     pub words: Rc<Vocabulary>,
--- a/crates/daemon/src/driver.rs
+++ b/crates/daemon/src/driver.rs
@@ -1,8 +1,9 @@
 //! Owns the dispatcher: tells it what the sides saw, and hands each of its actions to the side that acts.
-use crate::clients::Stage;
 use crate::clock::Clock;
+use crate::events::Event;
 use crate::exchange::{Answer, Exchange, Stop};
 use crate::executors::{Executors, Push};
+use crate::stage::Stage;
 use crate::words::{Entry, Vocabulary};
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
@@ -17,19 +18,6 @@
 /// How often the others are let go first after a standstill: a follower reads, then tells.
 const READ_FIRST: usize = 4;
 
-/// What the sides tell the driver.
-pub enum Event {
-    Arrived(Rc<Exchange>),
-    Left(WuId),
-    /// What the dispatcher may be told as it is; whether an end closes the work unit is found here.
-    Heard(Heard),
-    List(ListKind, Vec<Entry>),
-    /// The node ends soon: what is out is cut, and nothing more is sent.
-    OutOfTime,
-    /// The node ends now: what is open gets its last answer.
-    End,
-}
-
 struct Open {
     exchange: Rc<Exchange>,
     allocs: u32,
--- a/crates/daemon/src/executors.rs
+++ b/crates/daemon/src/executors/mod.rs
@@ -1,6 +1,6 @@
 //! The executor side: pooled connections, allocations and probes. It carries out what the driver says and
 //! tells it what came of it; what it may give a client goes into the exchange.
-use crate::driver::Event;
+use crate::events::Event;
 use crate::exchange::{Answer, Exchange, Stop};
 use crate::held::HeldBytes;
 use crate::http1::{AnswerHead, Connection, Failed};
--- /dev/null
+++ b/crates/daemon/src/lib.rs
@@ -0,0 +1,204 @@
+//! One real node: the dispatcher on sockets. Here it starts and stops; each concern has a file or a room of
+//! its own. `troutknotd` and `troutknot node` are thin programs round [`start`].
+mod briefing;
+mod clients;
+mod clock;
+mod driver;
+mod events;
+mod exchange;
+mod executors;
+mod held;
+mod http1;
+mod limits;
+mod lists;
+mod ring;
+mod stage;
+mod words;
+
+use briefing::{Briefing, Understood};
+use clients::Clients;
+use clock::Clock;
+use driver::Driver;
+use events::Event;
+use executors::Executors;
+use limits::{Limits, Stated};
+use stage::Stage;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpSocket};
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::{Notify, mpsc, watch};
+use tokio::task::{LocalSet, spawn_local};
+use tokio::time::{Instant, sleep};
+use tracing_appender::non_blocking::NonBlockingBuilder;
+use troutknot::{Dispatcher, ListKind};
+
+/// Writes the log's waiting lines when it is dropped; to be held until the process ends.
+pub struct LogGuard(#[allow(dead_code)] tracing_appender::non_blocking::WorkerGuard);
+
+/// Starts the log on standard output; `TROUTKNOT_LOG=debug` says more. Once a process.
+pub fn log_to_stdout() -> LogGuard {
+    let level = match std::env::var("TROUTKNOT_LOG").as_deref() {
+        Ok("debug") => tracing::Level::DEBUG,
+        _ => tracing::Level::INFO,
+    };
+    // Guards against a log that nobody reads: lines are dropped then, and the node serves on.
+    let log = NonBlockingBuilder::default().buffered_lines_limit(limits::LOG_LINES).lossy(true);
+    let (log, written_at_the_end) = log.finish(std::io::stdout());
+    tracing_subscriber::fmt()
+        .with_max_level(level)
+        .with_ansi(false)
+        .with_target(false)
+        .with_writer(log)
+        .init();
+    LogGuard(written_at_the_end)
+}
+
+/// Runs one node until SIGTERM or SIGINT has been seen through, on this thread alone.
+///
+/// `path` names the JSON file that says all that the node is told; it is read again at SIGHUP.
+///
+/// # Errors
+/// One plain line that says why the node cannot start, or that its driver has ended.
+pub fn start(path: &Path) -> Result<(), String> {
+    let told = Briefing::read(path)?;
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.map_err(|e| format!("no runtime: {e}"))?;
+    LocalSet::new().block_on(&runtime, run(told, path.to_owned()))
+}
+
+/// The file that `ROUTER_CONFIG` names.
+///
+/// # Errors
+/// Where it is not set.
+pub fn path_from_environment() -> Result<PathBuf, String> {
+    std::env::var_os("ROUTER_CONFIG").map(PathBuf::from).ok_or_else(|| "ROUTER_CONFIG is not set".into())
+}
+
+async fn run(mut told: Briefing, path: PathBuf) -> Result<(), String> {
+    // A node that is asked to read its configuration again before it serves must not end by that.
+    let reread = signal(SignalKind::hangup()).map_err(|e| format!("no signals: {e}"))?;
+    let Understood { seed, values, words } = told.understood()?;
+    let words = Rc::new(words);
+    let span = |name: &str| {
+        let millis = values.number(name, -1.0);
+        (0.0..1e9).contains(&millis).then(|| Duration::from_secs_f64(millis / 1000.0))
+    };
+    let limits = Rc::new(Limits::of(&Stated {
+        memory_mb: told.limits.memory_mb,
+        sockets: told.limits.sockets,
+        connect_wait: span("limits.connect_wait"),
+        executors_idle: span("limits.idle_connection"),
+        drain_grace: span("rules.drain_grace"),
+        longest: words.longest(),
+    }));
+    let mut terminate = signal(SignalKind::terminate()).map_err(|e| format!("no signals: {e}"))?;
+    let mut interrupt = signal(SignalKind::interrupt()).map_err(|e| format!("no signals: {e}"))?;
+    let listener = listen(told.listen, limits.backlog);
+    let listener = listener.map_err(|e| format!("cannot listen at {}: {e}", told.listen))?;
+    let address = listener.local_addr().map_err(|e| format!("cannot listen at {}: {e}", told.listen))?;
+
+    let clock = Clock::start();
+    let (events, told_events) = mpsc::channel(limits.events);
+    let (stage, staged) = watch::channel(Stage::Starting);
+    let follow = Rc::new(Notify::new());
+    let executors = Executors::new(limits.clone(), words.clone(), events.clone());
+    let clients = Clients::new(limits.clone(), words.clone(), events.clone(), staged);
+    let dispatcher = Dispatcher::new(values, seed, clock.now());
+    let mut driver =
+        Driver::new(dispatcher, clock, words.clone(), executors.clone(), follow.clone(), told_events, stage);
+    let version = told.known.as_ref().map(|known| known.version);
+    if let Some(known) = told.known.take() {
+        driver.tell(clock.now(), Event::List(ListKind::Saved, known.entries));
+    }
+    let (discovery, followed) = watch::channel(told.discovery);
+    let follower = lists::platform::Follower {
+        discovery: followed,
+        limits: limits.clone(),
+        words,
+        events: events.clone(),
+        ask: follow.clone(),
+    };
+    // The list is followed from the start, also where nobody has to ask for it.
+    follow.notify_one();
+    spawn_local(follower.run(version));
+    spawn_local(executors.retire_idle());
+    spawn_local(clients.clone().accept(listener));
+    let stage = driver.stage.clone();
+    let driver = spawn_local(driver.run());
+    tracing::info!(
+        "{} listens at {}: {} clients, {} connections to executors, {} bytes held at most",
+        told.name,
+        address,
+        limits.clients,
+        limits.executors,
+        limits.held_bytes
+    );
+    spawn_local(told.reread(path, reread, discovery));
+    let unlisted = sleep(limits.ready_wait);
+    tokio::pin!(driver, unlisted);
+    loop {
+        tokio::select! {
+            _ = &mut driver => return Err("the driver has ended".into()),
+            _ = terminate.recv() => break,
+            _ = interrupt.recv() => break,
+            () = &mut unlisted, if !unlisted.is_elapsed() => {
+                if *stage.borrow() == Stage::Starting {
+                    tracing::warn!("no word from the list yet, serving by the one held before");
+                    stage.send_replace(Stage::Serving);
+                }
+            }
+        }
+    }
+    tracing::info!("asked to end, {} connections from clients", clients.connections());
+    let ending = end(&limits, &clients, &stage, &events);
+    tokio::select! {
+        _ = &mut driver => Err("the driver has ended".into()),
+        () = ending => Ok(()),
+    }
+}
+
+fn listen(addr: SocketAddr, backlog: u32) -> std::io::Result<TcpListener> {
+    let socket = if addr.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
+    // A node that starts again under its address must not wait for connections of its last life.
+    socket.set_reuseaddr(true)?;
+    socket.bind(addr)?;
+    socket.listen(backlog)
+}
+
+/// Answers what is taken and what still comes, closes what is idle, and ends when nothing is left.
+async fn end(limits: &Limits, clients: &Clients, stage: &watch::Sender<Stage>, events: &mpsc::Sender<Event>) {
+    let asked = Instant::now();
+    stage.send_replace(Stage::Leaving);
+    sleep(limits.linger).await;
+    stage.send_replace(Stage::Closing);
+    // Until then after the signal, or until nobody is connected.
+    let wait = async |until: Duration| {
+        while clients.connections() > 0 && asked.elapsed() < until {
+            sleep(Duration::from_millis(20)).await;
+        }
+    };
+    wait(limits.cut_after).await;
+    if clients.connections() > 0 {
+        let _ = events.send(Event::OutOfTime).await;
+        wait(limits.end_after).await;
+    }
+    let left = clients.connections();
+    if left > 0 {
+        let _ = events.send(Event::End).await;
+        wait(limits.end_after + limits.last_words).await;
+    }
+    tracing::info!("ended with {left} connections still open");
+}
+
+#[tokio::test]
+async fn a_burst_of_connections_waits_to_be_accepted() {
+    let listener = listen(([127, 0, 0, 1], 0).into(), 1024).unwrap();
+    let addr = listener.local_addr().unwrap();
+    // Nobody accepts meanwhile; a connection that the queue has no room for comes up a second late, or never.
+    let wait = Duration::from_millis(900);
+    let connect = |_| std::net::TcpStream::connect_timeout(&addr, wait).unwrap();
+    let _burst: Vec<_> = (0..300).map(connect).collect();
+}
--- /dev/null
+++ b/crates/daemon/src/lists/mod.rs
@@ -0,0 +1,2 @@
+//! The sources of the list of executors; each tells the same events.
+pub mod platform;
--- a/crates/daemon/src/list.rs
+++ b/crates/daemon/src/lists/platform.rs
@@ -1,5 +1,5 @@
 //! Follows the list of executors: one watch at a time, opened when the dispatcher asks for it.
-use crate::driver::Event;
+use crate::events::Event;
 use crate::held::HeldBytes;
 use crate::http1::{Connection, Failed};
 use crate::limits::Limits;
