A model of executors: queues, cold starts that fall over, troubles, readings; checked by theory

Need: the kit that is to ship with the daemon needs executors that behave like real ones in time.

Change: crates/emulator, a model without I/O, clock or threads, with fleets in simulated time beside closed forms.

--- /dev/null
+++ b/crates/emulator/src/lib.rs
@@ -0,0 +1,9 @@
+//! Emulated executors for tests and rehearsals: [`model`] without I/O, and the sockets round it.
+//!
+//! Nothing here uses the daemon's code, so that a mistake there cannot hide itself.
+pub mod machine;
+pub mod model;
+pub mod theory;
+
+pub use machine::*;
+pub use model::{End, Executor, Key, Load, Offer, Output, Verdict};
