Emulated executors, discovery and front on loopback sockets, with gates, cuts and plugs

Need: rehearsals and the node's tests want peers that fail as real ones do on sockets.

Change: hyper serves; a gate keeps connections open and silent, a cut resets them, a plug makes new ones never come up.

--- /dev/null
+++ b/crates/emulator/src/executors.rs
@@ -0,0 +1,442 @@
+//! Executors on sockets round the model: one task a connection, one that lets time pass for each executor.
+use crate::machine::{Machine, Millis, Trouble};
+use crate::model::{End, Executor, Key, Load, Offer, Output, Verdict};
+use crate::observed::{AllocNumber, ExecutorNumber, Record, Seen};
+use crate::wire::{self, Cut, Gate, Line, LineSender, Lines, Plug};
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use hyper::{Method, Request, Response};
+use serde_json::json;
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::{Rc, Weak};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::sync::{Notify, watch};
+use tokio::task::spawn_local;
+use tokio::time::{Instant, sleep_until};
+
+const MOST_BODY: usize = 64 * 1024;
+
+/// What the executors know of a work unit by its id.
+#[derive(Clone, PartialEq, Debug)]
+pub struct Work {
+    pub wu: u64,
+    pub project_type: usize,
+    pub slots: f64,
+    pub memory: f64,
+    pub work: Millis,
+    pub priority: f64,
+}
+
+/// Finds what an id stands for; none where no client sent it.
+pub type WorkOf = Arc<dyn Fn(&str) -> Option<Work> + Send + Sync>;
+
+/// The result that an executor makes of a work unit, so that a client can tell that it is the right one.
+pub fn result_of(id: &str) -> String {
+    format!("result of {id}")
+}
+
+/// What all executors of a fleet share.
+pub struct Shared {
+    pub record: Arc<Record>,
+    pub work_of: WorkOf,
+    /// Whether starts and progress are told.
+    pub tells: bool,
+    next_alloc: Cell<AllocNumber>,
+}
+
+impl Shared {
+    pub fn new(record: Arc<Record>, work_of: WorkOf, tells: bool) -> Rc<Self> {
+        Rc::new(Shared { record, work_of, tells, next_alloc: Cell::new(0) })
+    }
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+enum Door {
+    Open,
+    /// Connections come up and are not taken.
+    Paused,
+    /// None comes up.
+    Silent,
+    /// They are refused.
+    Down,
+}
+
+/// An allocation that was taken and not answered yet.
+struct Out {
+    id: String,
+    send: LineSender,
+    line: Rc<Line>,
+}
+
+/// One executor on its address.
+pub struct Host {
+    pub number: ExecutorNumber,
+    pub name: String,
+    pub addr: SocketAddr,
+    model: RefCell<Executor>,
+    shared: Rc<Shared>,
+    gate: Rc<Gate>,
+    door: watch::Sender<Door>,
+    changed: Notify,
+    out: RefCell<HashMap<Key, Out>>,
+    lines: RefCell<Vec<Weak<Line>>>,
+}
+
+impl Host {
+    /// Starts to listen; `warm` where it started long ago.
+    ///
+    /// # Errors
+    /// Where the address cannot be listened at.
+    pub fn start(
+        shared: &Rc<Shared>,
+        number: ExecutorNumber,
+        machine: Machine,
+        seed: u64,
+        at: SocketAddr,
+        warm: bool,
+    ) -> io::Result<Rc<Self>> {
+        let listener = wire::listen(at)?;
+        let model = Executor::new(machine, seed, shared.record.now(), warm);
+        let host = Rc::new(Host {
+            number,
+            name: format!("s-{number:05}"),
+            addr: listener.local_addr()?,
+            model: RefCell::new(model),
+            shared: shared.clone(),
+            gate: Rc::default(),
+            door: watch::channel(Door::Open).0,
+            changed: Notify::new(),
+            out: RefCell::default(),
+            lines: RefCell::default(),
+        });
+        host.note(Seen::ExecutorUp { executor: number });
+        spawn_local(host.clone().accept(listener));
+        spawn_local(host.clone().let_time_pass());
+        Ok(host)
+    }
+
+    fn note(&self, seen: Seen) {
+        self.shared.record.note(seen);
+    }
+
+    fn now(&self) -> Millis {
+        self.shared.record.now()
+    }
+
+    /// When it last started, since the record's start; minus infinity for long ago.
+    pub fn started(&self) -> Millis {
+        self.model.borrow().started()
+    }
+
+    pub fn is_down(&self) -> bool {
+        self.model.borrow().is_down()
+    }
+
+    /// Allocations that run and wait.
+    pub fn load(&self) -> (usize, usize) {
+        let model = self.model.borrow();
+        (model.running(), model.waiting())
+    }
+
+    pub fn trouble(&self, number: u64, trouble: Trouble) {
+        self.model.borrow_mut().trouble(self.now(), number, trouble);
+        self.after_a_change();
+    }
+
+    pub fn trouble_over(&self, number: u64) {
+        let (before, down) = (self.started(), self.is_down());
+        self.model.borrow_mut().trouble_over(self.now(), number);
+        if self.started() != before && !down {
+            self.reset_all();
+            self.note(Seen::ExecutorUp { executor: self.number });
+        }
+        self.after_a_change();
+    }
+
+    pub fn drain(&self) {
+        self.model.borrow_mut().drain(self.now());
+        self.after_a_change();
+    }
+
+    /// The process dies: its connections are reset, new ones refused.
+    pub fn kill(&self) {
+        self.model.borrow_mut().kill(self.now());
+        self.note(Seen::ExecutorDown { executor: self.number });
+        self.after_a_change();
+        self.reset_all();
+    }
+
+    /// It starts anew, cold and empty, under its address.
+    pub fn restart(&self) {
+        self.model.borrow_mut().restart(self.now());
+        self.reset_all();
+        self.note(Seen::ExecutorUp { executor: self.number });
+        self.after_a_change();
+    }
+
+    fn reset_all(&self) {
+        let lines = std::mem::take(&mut *self.lines.borrow_mut());
+        lines.iter().filter_map(Weak::upgrade).for_each(|line| line.cut(Cut::Reset));
+    }
+
+    fn after_a_change(&self) {
+        self.hand_out();
+        let (down, silent, paused) = {
+            let model = self.model.borrow();
+            (model.is_down(), model.is_silent(), model.is_paused())
+        };
+        self.gate.set(silent || paused);
+        let door = match (down, silent, paused) {
+            (true, ..) => Door::Down,
+            (_, true, _) => Door::Silent,
+            (.., true) => Door::Paused,
+            _ => Door::Open,
+        };
+        self.door.send_if_modified(|was| std::mem::replace(was, door) != door);
+        self.changed.notify_one();
+    }
+
+    /// Writes what the model says to whoever waits for it.
+    fn hand_out(&self) {
+        loop {
+            let taken = self.model.borrow_mut().take(self.now());
+            let Some((at, output)) = taken else { return };
+            let note = |seen| self.shared.record.note_at(at, seen);
+            let say = |key: &Key, what: &dyn Fn(&str) -> serde_json::Value| {
+                if let Some(out) = self.out.borrow().get(key) {
+                    let _ = out.send.send(format!("{}\n", what(&out.id)).into());
+                }
+            };
+            match output {
+                Output::Started { key } => {
+                    note(Seen::Started { alloc: key.0 });
+                    if self.shared.tells {
+                        say(&key, &|id| json!({"id": id, "from": self.name, "state": "started"}));
+                    }
+                }
+                Output::Progress { key, share } => {
+                    say(&key, &|id| json!({"id": id, "from": self.name, "state": "running", "share": share}));
+                }
+                Output::Ended { key, end } => {
+                    note(Seen::Ended { alloc: key.0, end });
+                    let end = |id: &str| match end {
+                        End::Done => {
+                            json!({"id": id, "from": self.name, "state": "done", "result": result_of(id)})
+                        }
+                        End::Returned => json!({"id": id, "from": self.name, "state": "returned"}),
+                        End::Lost => json!({"id": id, "from": self.name, "state": "lost"}),
+                        End::Reset => json!(null),
+                    };
+                    let reset = matches!(output, Output::Ended { end: End::Reset, .. });
+                    if !reset {
+                        say(&key, &end);
+                    }
+                    if let Some(out) = self.out.borrow_mut().remove(&key)
+                        && reset
+                    {
+                        out.line.cut(Cut::Reset);
+                    }
+                }
+                Output::FellOver { sent, stood } => {
+                    note(Seen::FellOver { executor: self.number, sent, stood });
+                    note(Seen::ExecutorDown { executor: self.number });
+                }
+            }
+        }
+    }
+
+    async fn let_time_pass(self: Rc<Self>) {
+        loop {
+            let next = self.model.borrow().next_at();
+            let at =
+                self.shared.record.start() + Duration::from_secs_f64(next.unwrap_or(0.0).max(0.0) / 1000.0);
+            tokio::select! {
+                () = sleep_until(Instant::from_std(at)), if next.is_some() => self.hand_out(),
+                () = self.changed.notified() => {}
+            }
+        }
+    }
+
+    async fn accept(self: Rc<Self>, listener: TcpListener) {
+        let mut door = self.door.subscribe();
+        let mut listener = Some(listener);
+        loop {
+            let now = *door.borrow_and_update();
+            if now == Door::Down {
+                listener = None;
+            } else if listener.is_none() {
+                match wire::listen(self.addr) {
+                    Ok(again) => listener = Some(again),
+                    Err(_) => {
+                        // Its port is in use for a moment; guards against a restart that never listens.
+                        tokio::time::sleep(Duration::from_millis(20)).await;
+                        continue;
+                    }
+                }
+            }
+            match (now, &listener) {
+                (Door::Silent, Some(listener)) => {
+                    let plug = Plug::put(listener).await;
+                    let _ = door.changed().await;
+                    if let Ok(plug) = plug {
+                        let _ = plug.pull(listener);
+                    }
+                }
+                (Door::Open, Some(listener)) => tokio::select! {
+                    changed = door.changed() => if changed.is_err() { return },
+                    came = listener.accept() => {
+                        if let Ok((stream, _)) = came {
+                            spawn_local(self.clone().serve(stream));
+                        }
+                    }
+                },
+                _ => {
+                    if door.changed().await.is_err() {
+                        return;
+                    }
+                }
+            }
+        }
+    }
+
+    async fn serve(self: Rc<Self>, stream: tokio::net::TcpStream) {
+        if !self.model.borrow_mut().connect(self.now()) {
+            return;
+        }
+        self.changed.notify_one();
+        let line = Rc::new(Line::default());
+        {
+            let mut lines = self.lines.borrow_mut();
+            lines.retain(|line| line.strong_count() > 0);
+            lines.push(Rc::downgrade(&line));
+        }
+        let (host, own) = (self.clone(), line.clone());
+        let serving = wire::serve(stream, self.gate.clone(), line.clone(), move |request| {
+            let (host, line) = (host.clone(), own.clone());
+            async move { host.answer(request, line).await }
+        });
+        tokio::pin!(serving);
+        let mut ended = false;
+        loop {
+            tokio::select! {
+                () = &mut serving => break,
+                // Guards against an end that hyper does not see behind the gate.
+                () = line.ended(), if !ended => {
+                    ended = true;
+                    let of_it = |out: &(&Key, &Out)| Rc::ptr_eq(&out.1.line, &line);
+                    let keys: Vec<Key> = self.out.borrow().iter().filter(of_it).map(|(key, _)| *key).collect();
+                    for key in keys {
+                        self.out.borrow_mut().remove(&key);
+                        self.given_up(key);
+                    }
+                }
+            }
+        }
+        self.model.borrow_mut().disconnect(self.now());
+    }
+
+    fn report(&self) -> String {
+        let Load { waiting, running, free_slots, free_memory } = self.model.borrow_mut().probe(self.now());
+        self.changed.notify_one();
+        let slots = self.model.borrow().machine().slots;
+        let util = 1.0 - (free_slots / slots).clamp(0.0, 1.0);
+        let memory = if free_memory.is_finite() { format!(",x1={free_memory:.1}") } else { String::new() };
+        format!("inflight={running},queue={waiting},util={util:.3},x0={free_slots:.3}{memory}")
+    }
+
+    async fn answer(self: Rc<Self>, request: Request<Incoming>, line: Rc<Line>) -> Response<Lines> {
+        let status = |status: u16, body: String| {
+            let mut answer = Response::new(Lines::whole(body));
+            *answer.status_mut() = hyper::StatusCode::from_u16(status).expect("a status of ours");
+            answer
+        };
+        if request.method() == Method::GET {
+            return match request.uri().path() {
+                "/ping" | "/_load" => status(200, self.report()),
+                _ => status(404, String::new()),
+            };
+        }
+        let first_byte = line
+            .first_byte()
+            .map_or(self.now(), |at| (at.into_std() - self.shared.record.start()).as_secs_f64() * 1000.0);
+        let Some(id) = request.headers().get("request-id").and_then(|id| id.to_str().ok()).map(String::from)
+        else {
+            return status(404, String::new());
+        };
+        let named = request.headers().get("work-millis").and_then(|v| v.to_str().ok()?.parse::<f64>().ok());
+        if Limited::new(request.into_body(), MOST_BODY).collect().await.is_err() {
+            return status(413, String::new());
+        }
+        let Some(work) = (self.shared.work_of)(&id) else {
+            self.note(Seen::Unknown { executor: self.number, id: id.into() });
+            return status(400, String::new());
+        };
+        let alloc = self.shared.next_alloc.get();
+        self.shared.next_alloc.set(alloc + 1);
+        let key = Key(alloc);
+        let offer = Offer {
+            key,
+            wu: work.wu,
+            project_type: work.project_type,
+            slots: work.slots,
+            memory: work.memory,
+            work: named.filter(|w| w.is_finite() && *w >= 0.0).unwrap_or(work.work),
+            priority: work.priority,
+        };
+        self.note(Seen::Received {
+            executor: self.number,
+            alloc,
+            id: id.clone().into(),
+            first_byte,
+            slots: offer.slots,
+            work: offer.work,
+        });
+        let verdict = self.model.borrow_mut().offer(self.now(), offer);
+        match verdict {
+            Verdict::Taken => {}
+            Verdict::TurnedAway => {
+                self.note(Seen::NeverRan { alloc });
+                self.after_a_change();
+                let mut answer = status(503, String::new());
+                answer.headers_mut().insert("not-started", hyper::header::HeaderValue::from_static("1"));
+                return answer;
+            }
+            Verdict::Error => {
+                self.note(Seen::Errored { alloc });
+                return status(500, String::new());
+            }
+            Verdict::Down => {
+                // It fell over under this very allocation, or died as it came.
+                self.note(Seen::Ended { alloc, end: End::Reset });
+                self.after_a_change();
+                self.reset_all();
+                line.cut(Cut::Reset);
+                return std::future::pending().await;
+            }
+        }
+        let (host, own) = (Rc::downgrade(&self), key);
+        let dropped = move || {
+            if let Some(host) = host.upgrade()
+                && host.out.borrow_mut().remove(&own).is_some()
+            {
+                host.given_up(own);
+            }
+        };
+        let (send, lines) = Lines::new(Some(Box::new(dropped)));
+        self.out.borrow_mut().insert(key, Out { id, send, line: line.clone() });
+        self.after_a_change();
+        Response::new(lines)
+    }
+
+    /// Whoever sent it has ended the connection.
+    fn given_up(&self, key: Key) {
+        self.note(Seen::GivenUp { alloc: key.0 });
+        self.model.borrow_mut().cancel(self.now(), key);
+        self.changed.notify_one();
+    }
+}
--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -1,9 +1,14 @@
 //! Emulated executors for tests and rehearsals: [`model`] without I/O, and the sockets round it.
 //!
 //! Nothing here uses the daemon's code, so that a mistake there cannot hide itself.
+pub mod discovery;
+pub mod executors;
+pub mod front;
 pub mod machine;
 pub mod model;
+pub mod observed;
 pub mod theory;
+pub mod wire;
 
 pub use machine::*;
 pub use model::{End, Executor, Key, Load, Offer, Output, Verdict};
