--- /dev/null
+++ b/crates/cli/src/main.rs
@@ -0,0 +1,89 @@
+//! `troutknot`: the command line, and nothing else. Results go to standard output, all else to standard error.
+mod check;
+mod emulate;
+mod rehearse;
+
+use clap::{CommandFactory, Parser, Subcommand};
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+/// How a command ended; the number is the exit status.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Ended {
+    Held = 0,
+    /// A rule broke, or a bar was missed.
+    Broke = 1,
+    /// Wrong usage, or a file that cannot be used.
+    Usage = 2,
+    /// The machine could not carry it.
+    Machine = 3,
+}
+
+impl Ended {
+    /// Says why on standard error, in plain lines.
+    pub fn because(self, why: impl std::fmt::Display) -> Self {
+        why.to_string().lines().for_each(|line| eprintln!("troutknot: {line}"));
+        self
+    }
+}
+
+#[derive(Parser)]
+#[command(
+    name = "troutknot",
+    version,
+    about = "A dispatcher that pushes work units to executors, and the kit to rehearse it",
+    after_help = "Example: troutknot rehearse scenarios/calm.toml --seed 7"
+)]
+struct Command {
+    #[command(subcommand)]
+    verb: Verb,
+}
+
+#[derive(Subcommand)]
+enum Verb {
+    /// Run one real node, told all by a JSON file
+    #[command(after_help = "Example: troutknot node --config node.json")]
+    Node {
+        /// The file that the node is told all by; where not given, ROUTER_CONFIG names it
+        #[arg(long)]
+        config: Option<PathBuf>,
+    },
+    Rehearse(rehearse::Rehearse),
+    Emulate(emulate::Emulate),
+    Check(check::Check),
+    /// Print a script that completes commands in a shell
+    #[command(
+        after_help = "Example: troutknot completions bash > ~/.local/share/bash-completion/completions/troutknot"
+    )]
+    Completions {
+        shell: clap_complete::Shell,
+    },
+}
+
+fn node(config: Option<PathBuf>) -> Ended {
+    let _log = troutknot_daemon::log_to_stdout();
+    let path = config.map_or_else(troutknot_daemon::path_from_environment, Ok);
+    match path.and_then(|path| troutknot_daemon::start(&path)) {
+        Ok(()) => Ended::Held,
+        Err(why) => Ended::Usage.because(why),
+    }
+}
+
+fn main() -> ExitCode {
+    let ended = match Command::parse().verb {
+        Verb::Node { config } => node(config),
+        Verb::Rehearse(rehearse) => rehearse.run(),
+        Verb::Emulate(emulate) => emulate.run(),
+        Verb::Check(check) => check.run(),
+        Verb::Completions { shell } => {
+            clap_complete::generate(shell, &mut Command::command(), "troutknot", &mut std::io::stdout());
+            Ended::Held
+        }
+    };
+    ExitCode::from(ended as u8)
+}
+
+#[test]
+fn commands_that_contradict_themselves() {
+    Command::command().debug_assert();
+}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -69,6 +69,15 @@
     LocalSet::new().block_on(&runtime, run(told, path.to_owned()))
 }
 
+/// Says whether a node could be told by this file.
+///
+/// # Errors
+/// One plain line that says why not.
+pub fn check(path: &Path) -> Result<(), String> {
+    let understood = Briefing::read(path)?.understood();
+    understood.map(|_| ()).map_err(|why| format!("`{}`: {why}", path.display()))
+}
+
 /// The file that `ROUTER_CONFIG` names.
 ///
 /// # Errors
--- a/crates/emulator/src/executors.rs
+++ b/crates/emulator/src/executors.rs
@@ -137,6 +137,11 @@
         self.model.borrow().is_down()
     }
 
+    /// Whether its connections say nothing.
+    pub fn is_cut_off(&self) -> bool {
+        self.model.borrow().is_silent()
+    }
+
     /// Allocations that run and wait.
     pub fn load(&self) -> (usize, usize) {
         let model = self.model.borrow();
--- /dev/null
+++ b/crates/rehearsal/src/run.rs
@@ -0,0 +1,260 @@
+//! One rehearsal from its scenario to its verdict: the world on one thread, the clients on another.
+use crate::clients::Clients;
+use crate::nodes::{Launch, Used};
+use crate::plan::Plan;
+use crate::referee::{self, ExecutorFacts, Facts, RequestFacts, TypeFacts, Verdict};
+use crate::scenario::{Scenario, millis};
+use crate::world::World;
+use anyhow::{Context, Result, anyhow};
+use rustix::process::{Resource, Rlimit, getrlimit, setrlimit};
+use serde::Serialize;
+use std::path::Path;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::mpsc;
+use std::thread;
+use std::time::Duration;
+use tokio::sync::oneshot;
+use tokio::task::LocalSet;
+use tokio::time::{Instant, sleep};
+use troutknot_emulator::front::Front;
+use troutknot_emulator::observed::Record;
+
+/// Clients that are so late with one request in a hundred are no longer those of the scenario.
+const LATE_MS: f64 = 25.0;
+/// Requests a second of which one is known to be more than the kit sends from one thread.
+pub const MOST_RATE: f64 = 20_000.0;
+
+/// Why a rehearsal gave no verdict.
+#[derive(Debug, thiserror::Error)]
+pub enum Failed {
+    /// The machine could not carry it, or cannot.
+    #[error("{0}")]
+    Machine(String),
+    #[error("{0:#}")]
+    Other(#[from] anyhow::Error),
+}
+
+/// All that a rehearsal tells.
+#[derive(Clone, Debug, Serialize)]
+pub struct Report {
+    pub scenario: String,
+    pub seed: u64,
+    /// Names what was drawn; the same seed gives the same plan.
+    pub plan: String,
+    pub nodes: usize,
+    pub executors: usize,
+    pub length_s: f64,
+    pub expected_service: f64,
+    pub verdict: Verdict,
+    pub node_cpu_ms: f64,
+    pub node_cpu_us_per_request: f64,
+    pub node_memory_kb: u64,
+    pub kit_cpu_us_per_request: f64,
+    /// How late the kit itself was: the 99th percentile of its requests, and its latest step.
+    pub clients_late_p99_ms: f64,
+    pub steps_late_ms: f64,
+}
+
+impl Report {
+    /// Whether no rule broke and the service expected was reached.
+    pub fn holds(&self) -> bool {
+        self.verdict.breaches.is_empty() && self.verdict.service >= self.expected_service
+    }
+
+    /// Whether the kit kept to its own plan.
+    pub fn carried(&self) -> bool {
+        self.clients_late_p99_ms <= LATE_MS
+    }
+}
+
+/// Where the day stands, for a line of progress.
+#[derive(Default)]
+pub struct Progress {
+    pub over: AtomicUsize,
+    /// 0 until the day begins, then in milliseconds.
+    pub at_ms: AtomicUsize,
+}
+
+/// Descriptors that this process needs for a scenario: sockets of executors at both ends of each connection.
+fn descriptors_needed(scenario: &Scenario, plan: &Plan) -> u64 {
+    let executors = plan.executors.len() as u64;
+    let nodes = scenario.nodes.count as u64;
+    let to_executors = nodes * (scenario.nodes.descriptors / 3);
+    let clients = scenario.clients.connections as u64;
+    let out_at_once = (scenario.rate() * 2000.0 * 2.0) as u64 + 64;
+    64 + 2 * executors + 8 * nodes + to_executors + clients.min(out_at_once)
+}
+
+/// Whether this machine can carry a scenario, before anything starts.
+///
+/// # Errors
+/// One line that says what is short.
+pub fn check_machine(scenario: &Scenario, plan: &Plan) -> Result<(), Failed> {
+    let needed = descriptors_needed(scenario, plan);
+    let Rlimit { current, maximum } = getrlimit(Resource::Nofile);
+    if current.is_some_and(|current| current < needed) {
+        let raised = Rlimit { current: maximum.map_or(Some(needed), |most| Some(most.min(needed))), maximum };
+        let _ = setrlimit(Resource::Nofile, raised);
+        if maximum.is_some_and(|most| most < needed) {
+            let have = maximum.unwrap_or(0);
+            let what = format!("the scenario needs about {needed} file descriptors, {have} may be open");
+            return Err(Failed::Machine(what));
+        }
+    }
+    let most = scenario.traffic.get_ref().shape.iter().map(|p| p.times).fold(1.0, f64::max);
+    let rate = scenario.rate() * most * 1000.0;
+    if rate > MOST_RATE {
+        let what =
+            format!("the scenario sends {rate:.0} requests a second; the kit carries {MOST_RATE} at most");
+        return Err(Failed::Machine(what));
+    }
+    Ok(())
+}
+
+fn facts(scenario: &Scenario, plan: &Plan, began: f64) -> Facts {
+    let rules = &scenario.rules;
+    let types = scenario.project_types.iter().map(|t| t.get_ref());
+    Facts {
+        seed: plan.seed,
+        drain_grace: millis(rules.drain_grace),
+        told_at_latest: millis(rules.told_at_latest),
+        most_allocations: rules.most_allocations as usize,
+        slack: millis(rules.slack),
+        cold_share: rules.cold_share,
+        ramp: millis(rules.ramp),
+        fall_multiple: rules.fall_multiple,
+        fall_window: millis(rules.fall_window),
+        types: types
+            .map(|t| TypeFacts {
+                name: t.name.clone(),
+                effect: t.effect,
+                scope: t.repeat_scope,
+                window: millis(t.window),
+                hard_limit: millis(t.hard_limit),
+                promised_turnaround: millis(t.promised_turnaround),
+                credit: t.credit,
+            })
+            .collect(),
+        executors: (plan.executors.iter().enumerate())
+            .map(|(number, e)| ExecutorFacts {
+                name: format!("s-{number:05}"),
+                machine: e.machine.clone(),
+                place: 0,
+                group: e.group as u32,
+                cold_at_first: e.cold,
+            })
+            .collect(),
+        requests: plan
+            .requests
+            .iter()
+            .map(|r| RequestFacts { project_type: r.project_type, at: r.at })
+            .collect(),
+        began,
+    }
+}
+
+fn runtime() -> Result<tokio::runtime::Runtime> {
+    tokio::runtime::Builder::new_current_thread().enable_all().build().context("no runtime")
+}
+
+fn own_cpu_ms() -> f64 {
+    let stat = std::fs::read_to_string("/proc/self/stat").unwrap_or_default();
+    let fields: Vec<&str> = stat.rsplit(')').next().unwrap_or("").split_whitespace().collect();
+    let ticks = |k: usize| fields.get(k).and_then(|f| f.parse::<f64>().ok()).unwrap_or(0.0);
+    (ticks(11) + ticks(12)) * 10.0
+}
+
+/// Plays a scenario on real sockets with real nodes; logs and configurations go into `folder`.
+///
+/// # Errors
+/// Where it cannot be played, or the machine did not carry it.
+pub fn rehearse(
+    scenario: &Arc<Scenario>,
+    seed: u64,
+    launch: Arc<dyn Launch>,
+    folder: &Path,
+    progress: Arc<Progress>,
+) -> Result<Report, Failed> {
+    let plan = Arc::new(Plan::draw(scenario, seed));
+    check_machine(scenario, &plan)?;
+    let record = Arc::new(Record::default());
+    let cpu = own_cpu_ms();
+    // The world says where its nodes are, the clients say that the day is over.
+    let (ready, when_ready) = mpsc::channel();
+    let (over, when_over) = oneshot::channel::<()>();
+    let world = {
+        let (scenario, plan, record) = (scenario.clone(), plan.clone(), record.clone());
+        let folder = folder.to_owned();
+        move || -> Result<(Vec<Used>, f64)> {
+            let runtime = runtime()?;
+            LocalSet::new().block_on(&runtime, async {
+                let world = World::start(scenario, plan, record, launch, folder).await?;
+                let began = Instant::now() + Duration::from_millis(700);
+                let _ = ready.send((world.node_addrs(), began));
+                let played = tokio::task::spawn_local(world.clone().play(began));
+                let _ = when_over.await;
+                played.abort();
+                Ok((world.end(), world.late()))
+            })
+        }
+    };
+    let world = thread::Builder::new().name("world".into()).spawn(world).context("no thread")?;
+    let Ok((addrs, began)) = when_ready.recv() else {
+        let why = world.join().map_err(|_| anyhow!("the kit's world thread panicked"))?;
+        return Err(why.err().unwrap_or_else(|| anyhow!("the world ended before the day")).into());
+    };
+    let clients = {
+        let (scenario, plan, record) = (scenario.clone(), plan.clone(), record.clone());
+        move || -> Result<f64> {
+            let runtime = runtime()?;
+            LocalSet::new().block_on(&runtime, async {
+                let front = Front::start(&addrs, scenario.front.notices_after);
+                while front.taken_in() < addrs.len() && Instant::now() < began {
+                    sleep(Duration::from_millis(5)).await;
+                }
+                let clients = Clients::new(scenario, plan, record, front);
+                let watched = clients.clone();
+                tokio::task::spawn_local(async move {
+                    loop {
+                        let at = (Instant::now().saturating_duration_since(began)).as_millis() as usize;
+                        progress.at_ms.store(at, Ordering::Relaxed);
+                        progress.over.store(watched.over(), Ordering::Relaxed);
+                        sleep(Duration::from_millis(100)).await;
+                    }
+                });
+                clients.clone().play(began).await;
+                // What an answer ended is still told at the executors' end.
+                sleep(Duration::from_millis(100)).await;
+                Ok(clients.late(0.99))
+            })
+        }
+    };
+    let clients = thread::Builder::new().name("clients".into()).spawn(clients).context("no thread")?;
+    let late = clients.join().map_err(|_| anyhow!("the kit's client thread panicked"))?;
+    let _ = over.send(());
+    let (used, steps_late) = world.join().map_err(|_| anyhow!("the kit's world thread panicked"))??;
+    let late = late?;
+    let kit_cpu = own_cpu_ms() - cpu;
+    let began_ms = (began.into_std() - record.start()).as_secs_f64() * 1000.0;
+    let seen = record.take();
+    let verdict = referee::judge(&facts(scenario, &plan, began_ms), &seen);
+    let each = |sum: f64| sum * 1000.0 / plan.requests.len().max(1) as f64;
+    let node_cpu: f64 = used.iter().map(|u| u.cpu_ms).sum();
+    Ok(Report {
+        scenario: scenario.name.clone(),
+        seed,
+        plan: plan.hash(),
+        nodes: scenario.nodes.count,
+        executors: plan.executors.len(),
+        length_s: plan.length / 1000.0,
+        expected_service: scenario.expect.service,
+        verdict,
+        node_cpu_ms: node_cpu,
+        node_cpu_us_per_request: each(node_cpu),
+        node_memory_kb: used.iter().map(|u| u.most_memory_kb).max().unwrap_or(0),
+        kit_cpu_us_per_request: each(kit_cpu),
+        clients_late_p99_ms: late,
+        steps_late_ms: steps_late,
+    })
+}
--- /dev/null
+++ b/crates/rehearsal/src/world.rs
@@ -0,0 +1,372 @@
+//! The world of a rehearsal on sockets: executors, discovery and the nodes' processes, changed step by step as
+//! the plan says. All of it lives on one thread.
+use crate::briefing::{self, PLACE};
+use crate::nodes::{Ask, Launch, Running, Used};
+use crate::plan::{Plan, Step, opens_after};
+use crate::scenario::Scenario;
+use anyhow::{Context, Result, anyhow};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use serde_json::Value;
+use std::cell::{Cell, RefCell};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tokio::task::spawn_local;
+use tokio::time::{Instant, sleep, sleep_until};
+use troutknot_emulator::discovery::{Agent, Member};
+use troutknot_emulator::executors::{Host, Shared};
+use troutknot_emulator::front::health;
+use troutknot_emulator::observed::{ExecutorNumber, Listed, NodeNumber, Record, Seen};
+
+/// How long nodes may take to be ready at the start.
+const READY_WAIT: Duration = Duration::from_secs(15);
+const LOOK_EVERY: Duration = Duration::from_millis(20);
+
+/// Loopback addresses of their own for nodes, executors and agents, so that no outgoing connection takes a port
+/// while its owner is down.
+fn address(of: u8, number: usize) -> SocketAddr {
+    SocketAddr::from((Ipv4Addr::new(127, 70 + of, (number / 250) as u8, (number % 250 + 1) as u8), 0))
+}
+
+struct Node {
+    addr: SocketAddr,
+    config: PathBuf,
+    log: PathBuf,
+    agent: Rc<Agent>,
+    running: Option<Box<dyn Running>>,
+    /// Of the lives before.
+    used: Used,
+    /// Restarts draw other seeds.
+    lives: u64,
+}
+
+pub struct World {
+    scenario: Arc<Scenario>,
+    plan: Arc<Plan>,
+    record: Arc<Record>,
+    shared: Rc<Shared>,
+    launch: Arc<dyn Launch>,
+    hosts: RefCell<Vec<Option<Rc<Host>>>>,
+    listed: RefCell<Vec<Option<Member>>>,
+    nodes: RefCell<Vec<Node>>,
+    chance: RefCell<ChaCha8Rng>,
+    unix: f64,
+    /// The latest that a step was taken, in milliseconds.
+    late: Cell<f64>,
+}
+
+impl World {
+    /// Starts executors, agents and nodes, and waits until all nodes are ready.
+    ///
+    /// # Errors
+    /// Where an address cannot be listened at, a node cannot be started, or one is not ready in time.
+    pub async fn start(
+        scenario: Arc<Scenario>,
+        plan: Arc<Plan>,
+        record: Arc<Record>,
+        launch: Arc<dyn Launch>,
+        folder: PathBuf,
+    ) -> Result<Rc<Self>> {
+        let (of, about) = (plan.clone(), scenario.clone());
+        let work_of = Arc::new(move |id: &str| of.work(&about, id));
+        let shared = Shared::new(record.clone(), work_of, true);
+        let mut hosts = Vec::new();
+        for number in 0..plan.executors.len() {
+            let at_start = plan.executors[number].at_start;
+            hosts.push(at_start.then(|| host(&shared, &plan, number)).transpose()?);
+        }
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_secs_f64() * 1000.0;
+        let world = World {
+            unix: unix - record.now(),
+            hosts: RefCell::new(hosts),
+            listed: RefCell::new(vec![None; plan.executors.len()]),
+            nodes: RefCell::default(),
+            chance: RefCell::new(ChaCha8Rng::seed_from_u64(plan.seed ^ 0x77_6f72_6c64)),
+            late: Cell::new(0.0),
+            scenario,
+            plan,
+            record,
+            shared,
+            launch,
+        };
+        let world = Rc::new(world);
+        for number in 0..world.plan.executors.len() {
+            if world.plan.executors[number].at_start {
+                world.listed.borrow_mut()[number] = Some(world.member(number, Listed::Ready));
+            }
+        }
+        let members: Vec<Member> = world.listed.borrow().iter().flatten().cloned().collect();
+        for number in 0..world.scenario.nodes.count {
+            let agent =
+                Agent::start(&world.record, number as NodeNumber, address(2, number), members.clone())
+                    .with_context(|| format!("no address for discovery on {}", address(2, number)))?;
+            // A port that is free now, on an address of the node's own.
+            let free = TcpListener::bind(address(0, number)).and_then(|l| l.local_addr());
+            let addr = free.with_context(|| format!("no port on {}", address(0, number)))?;
+            let file = |kind: &str| folder.join(format!("n{number}.{kind}"));
+            let node = Node {
+                addr,
+                config: file("json"),
+                log: file("log"),
+                agent,
+                running: None,
+                used: Used::default(),
+                lives: 0,
+            };
+            world.nodes.borrow_mut().push(node);
+            world.start_node(number)?;
+        }
+        world.wait_until_ready().await?;
+        spawn_local(world.clone().look_after_nodes());
+        Ok(world)
+    }
+
+    pub fn node_addrs(&self) -> Vec<SocketAddr> {
+        self.nodes.borrow().iter().map(|node| node.addr).collect()
+    }
+
+    async fn wait_until_ready(&self) -> Result<()> {
+        let end = Instant::now() + READY_WAIT;
+        for (number, addr) in self.node_addrs().into_iter().enumerate() {
+            while health(addr).await != Some(200) {
+                let ended = self.nodes.borrow_mut()[number].running.as_mut().and_then(|r| r.ended());
+                if ended.is_some() || Instant::now() > end {
+                    let log = std::fs::read_to_string(&self.nodes.borrow()[number].log).unwrap_or_default();
+                    let last = log.lines().last().unwrap_or("it said nothing").to_string();
+                    return Err(anyhow!("node n{number} is not ready: {last}"));
+                }
+                sleep(LOOK_EVERY).await;
+            }
+        }
+        Ok(())
+    }
+
+    /// Plays the plan's steps from `began` on.
+    pub async fn play(self: Rc<Self>, began: Instant) {
+        let plan = self.plan.clone();
+        for (at, step) in &plan.steps {
+            let due = began + Duration::from_secs_f64(at / 1000.0);
+            sleep_until(due).await;
+            self.late.set(self.late.get().max(due.elapsed().as_secs_f64() * 1000.0));
+            self.step(step);
+        }
+    }
+
+    /// The latest that a step was taken, in milliseconds.
+    pub fn late(&self) -> f64 {
+        self.late.get()
+    }
+
+    /// Ends all nodes; what each used.
+    pub fn end(&self) -> Vec<Used> {
+        let mut nodes = self.nodes.borrow_mut();
+        let each = nodes.iter_mut().map(|node| {
+            if let Some(mut running) = node.running.take() {
+                let used = running.used();
+                let _ = running.ask(Ask::Die);
+                node.add(used);
+            }
+            node.used
+        });
+        each.collect()
+    }
+
+    fn step(self: &Rc<Self>, step: &Step) {
+        let host = |number: usize| self.hosts.borrow()[number].clone();
+        match step {
+            Step::TroubleBegins { number, executor, trouble } => {
+                self.record.note(Seen::TroubleBegan { number: *number });
+                if let Some(host) = host(*executor) {
+                    host.trouble(*number as u64, trouble.clone());
+                }
+            }
+            Step::TroubleEnds { number, executor } => {
+                self.record.note(Seen::TroubleOver { number: *number });
+                if let Some(host) = host(*executor) {
+                    host.trouble_over(*number as u64);
+                }
+            }
+            Step::Join { executor } => {
+                match self::host(&self.shared, &self.plan, *executor) {
+                    Ok(host) => self.hosts.borrow_mut()[*executor] = Some(host),
+                    Err(_) => return,
+                }
+                self.list(*executor, Listed::Ready);
+            }
+            Step::Drain { executor } => {
+                self.list(*executor, Listed::Terminating);
+                if let Some(host) = host(*executor) {
+                    host.drain();
+                }
+            }
+            Step::Leave { executor } => {
+                self.list(*executor, Listed::Gone);
+                if let Some(host) = host(*executor) {
+                    host.kill();
+                }
+            }
+            Step::KillExecutor { executor } => {
+                if let Some(host) = host(*executor) {
+                    host.kill();
+                }
+            }
+            Step::RestartExecutor { executor } => {
+                if let Some(host) = host(*executor) {
+                    host.restart();
+                }
+            }
+            Step::ListGone { executor } => self.list(*executor, Listed::Gone),
+            Step::ListBack { executor } => self.list(*executor, Listed::Ready),
+            Step::KillNode { node } => {
+                let mut nodes = self.nodes.borrow_mut();
+                let node_number = *node as NodeNumber;
+                let node = &mut nodes[*node];
+                if let Some(mut running) = node.running.take() {
+                    // One that was asked to end may have done so.
+                    match running.ended() {
+                        Some(well) => self.record.note(Seen::NodeEnded { node: node_number, well }),
+                        None => {
+                            let used = running.used();
+                            self.record.note(Seen::NodeKilled { node: node_number });
+                            let _ = running.ask(Ask::Die);
+                            node.add(used);
+                        }
+                    }
+                }
+            }
+            Step::EndNode { node } => {
+                self.record.note(Seen::NodeAsked { node: *node as NodeNumber });
+                if let Some(running) = &mut self.nodes.borrow_mut()[*node].running {
+                    let _ = running.ask(Ask::End);
+                }
+            }
+            Step::StartNode { node } => {
+                if let Err(why) = self.start_node(*node) {
+                    eprintln!("node n{node} does not start again: {why}");
+                }
+            }
+            Step::RereadNodes => {
+                for number in 0..self.scenario.nodes.count {
+                    let moved = self.nodes.borrow()[number].agent.move_to(address(2, number));
+                    if moved.is_err() || self.write_config(number).is_err() {
+                        continue;
+                    }
+                    self.record.note(Seen::NodeReread { node: number as NodeNumber });
+                    if let Some(running) = &mut self.nodes.borrow_mut()[number].running {
+                        let _ = running.ask(Ask::Reread);
+                    }
+                }
+            }
+            Step::SilenceDiscovery { on } => {
+                self.nodes.borrow().iter().for_each(|node| node.agent.silent(*on));
+            }
+            Step::RestartDiscovery => self.nodes.borrow().iter().for_each(|node| node.agent.restart()),
+        }
+    }
+
+    fn member(&self, number: usize, listed: Listed) -> Member {
+        let planned = &self.plan.executors[number];
+        let hosts = self.hosts.borrow();
+        let host = hosts[number].as_ref().expect("it was started before it is listed");
+        let announced = self.announced(number);
+        let started = announced.unwrap_or(host.started());
+        Member {
+            executor: number as ExecutorNumber,
+            id: host.name.clone(),
+            addr: host.addr,
+            zone: PLACE.into(),
+            kind: planned.kind.clone(),
+            cell: planned.group as u32,
+            listed,
+            weight: 1.0,
+            started_ms: if started.is_finite() { (self.unix + started).floor() } else { 0.0 },
+        }
+    }
+
+    /// When it will be up again, where it is about to start anew: it announces itself before its door opens.
+    fn announced(&self, number: usize) -> Option<f64> {
+        let opens = opens_after(&self.scenario);
+        let hosts = self.hosts.borrow();
+        let host = hosts[number].as_ref()?;
+        (host.is_down() || host.is_cut_off()).then(|| self.record.now() + opens)
+    }
+
+    /// Discovery lists it otherwise from now on; each agent hears of it after a delay of its own.
+    fn list(&self, number: usize, listed: Listed) {
+        let member = self.member(number, listed);
+        self.listed.borrow_mut()[number] = Some(member.clone());
+        let discovery = &self.scenario.discovery;
+        for node in self.nodes.borrow().iter() {
+            let way: f64 = self.chance.borrow_mut().random();
+            let span = discovery.notice_most - discovery.notice_least;
+            node.agent.change(member.clone(), discovery.notice_least + span.mul_f64(way));
+        }
+    }
+
+    fn write_config(&self, number: usize) -> Result<Value> {
+        let nodes = self.nodes.borrow();
+        let node = &nodes[number];
+        let known = node.agent.known();
+        let seed = self.plan.seed ^ (number as u64) << 32 ^ node.lives << 48;
+        let config =
+            briefing::config(&self.scenario, number, node.addr, node.agent.addr(), seed, known.clone());
+        std::fs::write(&node.config, config.to_string())
+            .with_context(|| format!("cannot write {}", node.config.display()))?;
+        Ok(known)
+    }
+
+    fn start_node(&self, number: usize) -> Result<()> {
+        let known = self.write_config(number)?;
+        let by_name: std::collections::HashMap<String, (ExecutorNumber, Listed)> =
+            self.listed.borrow().iter().flatten().map(|m| (m.id.clone(), (m.executor, m.listed))).collect();
+        let mut nodes = self.nodes.borrow_mut();
+        let node = &mut nodes[number];
+        let log = std::fs::File::options().create(true).append(true).open(&node.log);
+        let log = log.with_context(|| format!("cannot write {}", node.log.display()))?;
+        self.record.note(Seen::NodeStarted { node: number as NodeNumber });
+        for entry in known["servers"].as_array().into_iter().flatten() {
+            if let Some((executor, _)) = entry["id"].as_str().and_then(|id| by_name.get(id)) {
+                let listed = if entry["state"] == "Ready" { Listed::Ready } else { Listed::Terminating };
+                let told = Seen::Told { node: number as NodeNumber, executor: *executor, listed };
+                self.record.note(told);
+            }
+        }
+        node.running = Some(self.launch.start(&node.config, log).context("cannot start a node")?);
+        node.lives += 1;
+        Ok(())
+    }
+
+    /// Notes nodes that end by themselves.
+    async fn look_after_nodes(self: Rc<Self>) {
+        loop {
+            for (number, node) in self.nodes.borrow_mut().iter_mut().enumerate() {
+                let Some(running) = &mut node.running else { continue };
+                let used = running.used();
+                if let Some(well) = running.ended() {
+                    self.record.note(Seen::NodeEnded { node: number as NodeNumber, well });
+                    node.running = None;
+                    node.add(used);
+                }
+            }
+            sleep(LOOK_EVERY).await;
+        }
+    }
+}
+
+impl Node {
+    fn add(&mut self, used: Used) {
+        self.used.cpu_ms += used.cpu_ms;
+        self.used.most_memory_kb = self.used.most_memory_kb.max(used.most_memory_kb);
+    }
+}
+
+fn host(shared: &Rc<Shared>, plan: &Plan, number: usize) -> Result<Rc<Host>> {
+    let planned = &plan.executors[number];
+    let at = address(1, number);
+    let machine = planned.machine.clone();
+    Host::start(shared, number as ExecutorNumber, machine, planned.seed, at, !planned.cold)
+        .with_context(|| format!("no address for an executor on {at}"))
+}
