--- a/crates/rehearsal/src/referee.rs
+++ b/crates/rehearsal/src/referee.rs
@@ -433,7 +433,10 @@
             Effect::Receipted => kind.scope != RepeatScope::All,
             Effect::Exclusive => true,
         };
-        let may = |a: &&&Alloc| a.never_ran.is_none_or(|known| known > at + facts.slack);
+        // What came after the answer is another breach.
+        let may = |a: &&&Alloc| {
+            a.received <= at + facts.slack && a.never_ran.is_none_or(|known| known > at + facts.slack)
+        };
         if let Some(alloc) = allocs.iter().find(may).filter(|_| strict) {
             let executor = facts.executor(alloc.executor);
             let what = format!("answered {status} at {}, though {executor} may have run it", facts.shown(at));
--- /dev/null
+++ b/crates/rehearsal/tests/referee.rs
@@ -0,0 +1,345 @@
+//! The referee on records made by hand: what it must see, and what it must not take for a breach.
+use troutknot_emulator::observed::{Listed, Seen};
+use troutknot_emulator::{End, Machine};
+use troutknot_rehearsal::referee::{ExecutorFacts, Facts, RequestFacts, TypeFacts, judge};
+use troutknot_rehearsal::scenario::{Effect, RepeatScope};
+
+const RENDER: usize = 0;
+const MAIL: usize = 1;
+const PUBLISH: usize = 2;
+
+fn facts(project_type: usize, scope: RepeatScope) -> Facts {
+    let of = |name: &str, effect| TypeFacts {
+        name: name.into(),
+        effect,
+        scope,
+        window: 1000.0,
+        hard_limit: 2000.0,
+        promised_turnaround: 500.0,
+        credit: 1.0,
+    };
+    let executor = |k: u32, cold_at_first| ExecutorFacts {
+        name: format!("s-{k}"),
+        machine: Machine { slots: 2.0, cores: 2.0, ..Machine::default() },
+        place: 0,
+        group: k,
+        cold_at_first,
+    };
+    Facts {
+        seed: 0,
+        drain_grace: 1000.0,
+        told_at_latest: 3000.0,
+        most_allocations: 3,
+        slack: 50.0,
+        cold_share: 0.5,
+        ramp: 10_000.0,
+        fall_multiple: 2.0,
+        fall_window: 100.0,
+        types: vec![
+            of("render", Effect::Rerunnable),
+            of("mail", Effect::Receipted),
+            of("publish", Effect::Exclusive),
+        ],
+        executors: vec![executor(0, false), executor(1, false), executor(2, true)],
+        requests: vec![RequestFacts { project_type, at: 0.0 }],
+        began: 0.0,
+    }
+}
+
+fn sent(attempt: u32) -> Seen {
+    Seen::Sent { id: id(attempt), request: 0, attempt, node: 0 }
+}
+
+fn id(attempt: u32) -> Box<str> {
+    format!("a{attempt}").into()
+}
+
+fn answered(attempt: u32, status: u16) -> Seen {
+    Seen::Answered { id: id(attempt), status, fits: status == 200, come_back: None }
+}
+
+fn received(alloc: u64, executor: u32, attempt: u32, first_byte: f64) -> Seen {
+    Seen::Received { executor, alloc, id: id(attempt), first_byte, slots: 1.0, work: 90.0 }
+}
+
+fn done(alloc: u64) -> Seen {
+    Seen::Ended { alloc, end: End::Done }
+}
+
+fn reset(alloc: u64) -> Seen {
+    Seen::Ended { alloc, end: End::Reset }
+}
+
+fn told(listed: Listed) -> Seen {
+    Seen::Told { node: 0, executor: 0, listed }
+}
+
+fn cut(reused: bool) -> Seen {
+    Seen::Cut { id: id(0), reused }
+}
+
+type Case = (&'static str, usize, RepeatScope, Vec<(f64, Seen)>, &'static [&'static str]);
+
+#[test]
+fn breaches_and_what_only_looks_like_one() {
+    use RepeatScope::{All, Group};
+    let started = |alloc| Seen::Started { alloc };
+    let knows = |listed| Seen::AgentKnows { node: 0, executor: 0, listed };
+    let once = |at: f64| {
+        vec![(0.0, sent(0)), (at, received(1, 0, 0, at)), (at + 20.0, done(1)), (at + 30.0, answered(0, 200))]
+    };
+    let after = |mut first: Vec<(f64, Seen)>, then: Vec<(f64, Seen)>| {
+        first.extend(then);
+        first
+    };
+    let cold = |works: usize| {
+        let mut seen = vec![(0.0, Seen::ExecutorUp { executor: 2 }), (0.0, sent(0))];
+        (0..works).for_each(|k| seen.push((1.0, received(k as u64, 2, 0, 1.0))));
+        seen.push((1.5, answered(0, 502)));
+        (0..works).for_each(|k| seen.push((1.2, reset(k as u64))));
+        seen
+    };
+    let cases: Vec<Case> = vec![
+        ("one answer", PUBLISH, All, once(10.0), &[]),
+        ("an answer that a client may still take", RENDER, All, once(2010.0), &[]),
+        ("a late answer", RENDER, All, once(2030.0), &["late-answer"]),
+        ("none at all", RENDER, All, vec![(0.0, sent(0))], &["no-answer"]),
+        (
+            "a node that was killed owes nothing",
+            RENDER,
+            All,
+            vec![(0.0, sent(0)), (10.0, Seen::NodeKilled { node: 0 }), (11.0, cut(true))],
+            &[],
+        ),
+        (
+            "one that was asked to end owes what it had taken",
+            RENDER,
+            All,
+            vec![
+                (0.0, Seen::NodeAsked { node: 0 }),
+                (1.0, sent(0)),
+                (2.0, received(1, 0, 0, 2.0)),
+                (10.0, Seen::NodeKilled { node: 0 }),
+                (11.0, cut(true)),
+                (12.0, Seen::GivenUp { alloc: 1 }),
+            ],
+            &["lost"],
+        ),
+        ("a close that crosses a request", RENDER, All, vec![(0.0, sent(0)), (1.0, cut(true))], &[]),
+        ("a close of a fresh connection", RENDER, All, vec![(0.0, sent(0)), (1.0, cut(false))], &["lost"]),
+        (
+            "a node that ends by itself",
+            RENDER,
+            All,
+            after(once(10.0), vec![(100.0, Seen::NodeEnded { node: 0, well: true })]),
+            &["node-crashed"],
+        ),
+        (
+            "a node that ends when it is asked to",
+            RENDER,
+            All,
+            after(
+                once(10.0),
+                vec![(100.0, Seen::NodeAsked { node: 0 }), (200.0, Seen::NodeEnded { node: 0, well: true })],
+            ),
+            &[],
+        ),
+        (
+            "a client that left",
+            RENDER,
+            All,
+            vec![
+                (0.0, sent(0)),
+                (10.0, Seen::Left { id: id(0) }),
+                (40.0, received(1, 0, 0, 40.0)),
+                (60.0, done(1)),
+            ],
+            &[],
+        ),
+        (
+            "work sent long after its client left",
+            RENDER,
+            All,
+            vec![
+                (0.0, sent(0)),
+                (10.0, Seen::Left { id: id(0) }),
+                (80.0, received(1, 0, 0, 80.0)),
+                (90.0, done(1)),
+            ],
+            &["sent-after-final"],
+        ),
+        (
+            "receipted work again within its window",
+            MAIL,
+            All,
+            vec![
+                (0.0, sent(0)),
+                (1.0, received(1, 0, 0, 1.0)),
+                (100.0, reset(1)),
+                (900.0, received(2, 1, 0, 900.0)),
+                (950.0, done(2)),
+                (960.0, answered(0, 200)),
+            ],
+            &[],
+        ),
+        (
+            "receipted work past its window",
+            MAIL,
+            All,
+            vec![
+                (0.0, sent(0)),
+                (1.0, received(1, 0, 0, 1.0)),
+                (100.0, reset(1)),
+                (1002.0, received(2, 1, 0, 1002.0)),
+                (1050.0, done(2)),
+                (1060.0, answered(0, 200)),
+            ],
+            &["repeat"],
+        ),
+        (
+            "receipted work outside its group",
+            MAIL,
+            Group,
+            vec![
+                (0.0, sent(0)),
+                (1.0, received(1, 0, 0, 1.0)),
+                (100.0, reset(1)),
+                (200.0, received(2, 1, 0, 200.0)),
+                (250.0, done(2)),
+                (260.0, answered(0, 200)),
+            ],
+            &["repeat"],
+        ),
+        (
+            "receipted work deferred outside its group",
+            MAIL,
+            Group,
+            vec![(0.0, sent(0)), (1.0, received(1, 0, 0, 1.0)), (100.0, reset(1)), (200.0, answered(0, 503))],
+            &["deferred-may-have-run"],
+        ),
+        (
+            "exclusive work that was handed back",
+            PUBLISH,
+            All,
+            vec![
+                (0.0, sent(0)),
+                (1.0, received(1, 0, 0, 1.0)),
+                (9.0, Seen::Ended { alloc: 1, end: End::Returned }),
+                (10.0, received(2, 1, 0, 10.0)),
+                (30.0, done(2)),
+                (31.0, answered(0, 200)),
+            ],
+            &[],
+        ),
+        (
+            "exclusive work that ran in two tries",
+            PUBLISH,
+            All,
+            vec![
+                (0.0, sent(0)),
+                (1.0, received(1, 0, 0, 1.0)),
+                (2.0, started(1)),
+                (9.0, Seen::Ended { alloc: 1, end: End::Returned }),
+                (10.0, answered(0, 503)),
+                (20.0, sent(1)),
+                (21.0, received(2, 1, 1, 21.0)),
+                (22.0, started(2)),
+                (30.0, done(2)),
+                (31.0, answered(1, 200)),
+            ],
+            &["second-effect"],
+        ),
+        (
+            "one that is given up before the next is sent",
+            RENDER,
+            All,
+            vec![
+                (0.0, sent(0)),
+                (1.0, received(1, 0, 0, 1.0)),
+                (100.0, received(2, 1, 0, 100.0)),
+                (120.0, Seen::GivenUp { alloc: 1 }),
+                (150.0, done(2)),
+                (151.0, answered(0, 200)),
+            ],
+            &[],
+        ),
+        (
+            "two out at once",
+            RENDER,
+            All,
+            vec![
+                (0.0, sent(0)),
+                (1.0, received(1, 0, 0, 1.0)),
+                (100.0, received(2, 1, 0, 100.0)),
+                (170.0, done(1)),
+                (180.0, done(2)),
+                (181.0, answered(0, 200)),
+            ],
+            &["two-out"],
+        ),
+        (
+            "a send within the grace",
+            RENDER,
+            All,
+            after(vec![(0.0, told(Listed::Terminating))], once(1040.0)),
+            &[],
+        ),
+        (
+            "a send past the grace",
+            RENDER,
+            All,
+            after(vec![(0.0, told(Listed::Terminating))], once(1060.0)),
+            &["sent-to-drained"],
+        ),
+        (
+            "a send once it is back",
+            RENDER,
+            All,
+            after(vec![(0.0, told(Listed::Terminating)), (500.0, told(Listed::Ready))], once(1060.0)),
+            &[],
+        ),
+        (
+            "gone after it drained counts from the drain",
+            RENDER,
+            All,
+            after(vec![(0.0, told(Listed::Terminating)), (900.0, told(Listed::Gone))], once(1060.0)),
+            &["sent-to-drained"],
+        ),
+        (
+            "a node that never listens counts as told in the end",
+            RENDER,
+            All,
+            after(vec![(-3000.0, knows(Listed::Gone))], once(1060.0)),
+            &["sent-to-drained"],
+        ),
+        ("a cold one within its budget", RENDER, All, cold(2), &[]),
+        ("a cold one pushed over", RENDER, All, cold(3), &["pushed-over"]),
+    ];
+    for (what, project_type, scope, seen, expected) in cases {
+        let verdict = judge(&facts(project_type, scope), &seen);
+        let mut found: Vec<&str> = verdict.breaches.iter().map(|b| b.name).collect();
+        found.retain(|name| !(what.starts_with("a cold one") && *name == "two-out"));
+        found.dedup();
+        assert_eq!(found, expected, "{what}: {:#?}", verdict.breaches);
+    }
+}
+
+#[test]
+fn service_counts_from_the_first_try_and_leaves_out_who_left() {
+    let seen = |at: f64| {
+        vec![
+            (0.0, sent(0)),
+            (5.0, answered(0, 503)),
+            (at - 20.0, sent(1)),
+            (at - 10.0, received(1, 0, 1, at - 10.0)),
+            (at - 5.0, done(1)),
+            (at, answered(1, 200)),
+        ]
+    };
+    for (at, in_time, service) in [(400.0, 1, 1.0), (501.0, 0, 0.0)] {
+        let verdict = judge(&facts(RENDER, RepeatScope::All), &seen(at));
+        assert_eq!((verdict.all.in_time, verdict.service, verdict.all.tries), (in_time, service, 2));
+    }
+    let left = judge(&facts(RENDER, RepeatScope::All), &[(0.0, sent(0)), (1.0, Seen::Left { id: id(0) })]);
+    assert_eq!((left.all.left, left.service), (1, 1.0));
+}
