The node's tests use the kit's scripted peers, on hyper

Need: stand-ins written once, and not round the daemon's own parser.

Change: emulator::scripted has executors and discovery that do what a test tells them; crates/daemon/tests/node.rs drops its own.

--- a/crates/daemon/tests/node.rs
+++ b/crates/daemon/tests/node.rs
@@ -1,14 +1,14 @@
-//! One node as a process between stand-ins for clients, executors and discovery, on free loopback ports.
+//! One node as a process between raw clients and scripted peers, on free loopback ports.
 use serde_json::{Value, json};
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
-use std::sync::mpsc::{self, Receiver, Sender};
-use std::sync::{Arc, Mutex};
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::mpsc::{self, Receiver};
 use std::thread;
 use std::time::{Duration, Instant};
+use troutknot_emulator::scripted::{Act, Discovery, Executor, Message};
 
 const PATIENCE: Duration = Duration::from_secs(20);
 
@@ -20,29 +20,6 @@
     }
 }
 
-/// What an executor does with one allocation.
-#[derive(Clone, Copy, Debug, PartialEq)]
-enum Act {
-    Done,
-    /// A result of so many bytes.
-    Large(usize),
-    Status500,
-    /// 503, and it says that it has not started.
-    TurnedAway,
-    Returned,
-    Lost,
-    Break,
-    Silent,
-    Garbage,
-    OtherId,
-    /// Done, or lost, once the test says so.
-    Wait,
-    WaitAndLose,
-}
-
-/// A message as it came: head and body.
-type Message = (String, Vec<u8>);
-
 fn message(from: &mut impl BufRead) -> Option<Message> {
     let (mut head, mut length) = (String::new(), 0);
     loop {
@@ -73,131 +50,6 @@
     lines.find(|(n, _)| n.eq_ignore_ascii_case(name)).map(|(_, value)| value.trim())
 }
 
-/// An executor: it always has room, and does one act after the other, then `Done`.
-struct Executor {
-    addr: SocketAddr,
-    acts: Arc<Mutex<VecDeque<Act>>>,
-    seen: Arc<Mutex<Vec<Message>>>,
-    go_on: Sender<()>,
-    /// Cut off: connections come up and stay open, and nothing is ever said.
-    mute: Arc<AtomicBool>,
-}
-
-impl Executor {
-    fn start() -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-        let addr = listener.local_addr().unwrap();
-        let (acts, seen) = (Arc::new(Mutex::default()), Arc::new(Mutex::default()));
-        let (go_on, wait) = mpsc::channel();
-        let wait = Arc::new(Mutex::new(wait));
-        let mute = Arc::new(AtomicBool::new(false));
-        let (own_acts, own_seen, own_mute) = (acts.clone(), seen.clone(), mute.clone());
-        thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
-                let (acts, seen, wait) = (own_acts.clone(), own_seen.clone(), wait.clone());
-                let mute = own_mute.clone();
-                thread::spawn(move || serve_executor(stream, &acts, &seen, &wait, &mute));
-            }
-        });
-        Executor { addr, acts, seen, go_on, mute }
-    }
-
-    /// Waits until so many allocations have come.
-    fn wait_for(&self, count: usize) {
-        until("allocations come", || self.seen.lock().unwrap().len() >= count);
-    }
-}
-
-fn serve_executor(
-    mut stream: TcpStream,
-    acts: &Mutex<VecDeque<Act>>,
-    seen: &Mutex<Vec<Message>>,
-    wait: &Mutex<Receiver<()>>,
-    mute: &AtomicBool,
-) -> Option<()> {
-    let mut input = BufReader::new(stream.try_clone().unwrap());
-    loop {
-        let (head, body) = message(&mut input)?;
-        if mute.load(Ordering::Relaxed) {
-            continue;
-        }
-        if head.starts_with("GET /_load") {
-            stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 12\r\n\r\nqueue=0,x0=8").ok()?;
-            continue;
-        }
-        let id = field(&head, "request-id").unwrap().to_string();
-        // The act is chosen before the test can see the allocation, so that it may list the next one.
-        let act = acts.lock().unwrap().pop_front().unwrap_or(Act::Done);
-        seen.lock().unwrap().push((head, body));
-        let lines = |lines: &[Value]| {
-            let mut out = String::from("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
-            for line in lines {
-                out += &format!("{:x}\r\n{line}\n\r\n", line.to_string().len() + 1);
-            }
-            out + "0\r\n\r\n"
-        };
-        let (started, id) = (json!({"id": id, "state": "started"}), id.as_str());
-        let done = |id: &str, size: usize| json!({"id": id, "state": "done", "result": "r".repeat(size)});
-        let answer = match act {
-            Act::Done => lines(&[started, json!({"id": id, "state": "running", "share": 0.4}), done(id, 3)]),
-            Act::Large(size) => lines(&[done(id, size)]),
-            Act::Status500 => "HTTP/1.1 500 Broken\r\nContent-Length: 0\r\n\r\n".into(),
-            Act::TurnedAway => "HTTP/1.1 503 Full\r\nNot-Started: 1\r\nContent-Length: 0\r\n\r\n".into(),
-            Act::Returned => lines(&[json!({"id": id, "state": "returned"})]),
-            Act::Lost => lines(&[started, json!({"id": id, "state": "lost"})]),
-            Act::Break => return None,
-            Act::Silent => {
-                // Until the node gives up and closes.
-                let _ = input.read(&mut [0]);
-                return None;
-            }
-            Act::Garbage => "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n".into(),
-            Act::OtherId => lines(&[done("0000000000000000", 3)]),
-            Act::Wait => {
-                wait.lock().unwrap().recv().ok()?;
-                lines(&[done(id, 3)])
-            }
-            Act::WaitAndLose => {
-                wait.lock().unwrap().recv().ok()?;
-                lines(&[json!({"id": id, "state": "lost"})])
-            }
-        };
-        stream.write_all(answer.as_bytes()).ok()?;
-    }
-}
-
-/// Discovery: every watch gets the first line, then what the test sends; an empty text breaks the watch off.
-struct Discovery {
-    addr: SocketAddr,
-    lines: Sender<String>,
-    asked: Receiver<String>,
-}
-
-impl Discovery {
-    fn start(first: String) -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-        let addr = listener.local_addr().unwrap();
-        let ((lines, to_send), (ask, asked)) = (mpsc::channel::<String>(), mpsc::channel());
-        thread::spawn(move || {
-            for mut stream in listener.incoming().flatten() {
-                let mut input = BufReader::new(stream.try_clone().unwrap());
-                let Some((head, _)) = message(&mut input) else { continue };
-                let _ = ask.send(head.lines().next().unwrap().to_string());
-                let _ = stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
-                let mut line = first.clone();
-                while write!(stream, "{:x}\r\n{line}\n\r\n", line.len() + 1).is_ok() {
-                    line = match to_send.recv_timeout(Duration::from_millis(500)) {
-                        Ok(text) if text.is_empty() => break,
-                        Ok(text) => text,
-                        Err(_) => String::new(),
-                    };
-                }
-            }
-        });
-        Discovery { addr, lines, asked }
-    }
-}
-
 fn entry(name: &str, executor: &Executor, state: &str) -> Value {
     let addr = executor.addr.to_string();
     json!({"id": name, "addr": addr, "zone": "z", "kind": "k", "cell": 0, "state": state})
--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod machine;
 pub mod model;
 pub mod observed;
+pub mod scripted;
 pub mod theory;
 pub mod wire;
 
--- /dev/null
+++ b/crates/emulator/src/scripted.rs
@@ -0,0 +1,234 @@
+//! Peers that do just what a test tells them, each on a thread and a free loopback port of its own.
+use crate::wire::{self, Cut, Line, Lines};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use hyper::{Method, Request, Response, StatusCode};
+use serde_json::json;
+use std::collections::VecDeque;
+use std::future::{Future, pending};
+use std::net::{Ipv4Addr, SocketAddr};
+use std::rc::Rc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, mpsc};
+use std::thread;
+use std::time::{Duration, Instant};
+use tokio::sync::Mutex as Turn;
+use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
+use tokio::task::{LocalSet, spawn_local};
+use tokio::time::sleep;
+
+const PATIENCE: Duration = Duration::from_secs(20);
+
+/// What an executor does with one allocation.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Act {
+    Done,
+    /// A result of so many bytes.
+    Large(usize),
+    Status500,
+    /// 503, and it says that it has not started.
+    TurnedAway,
+    Returned,
+    Lost,
+    Break,
+    Silent,
+    Garbage,
+    OtherId,
+    /// Done, or lost, once the test says so.
+    Wait,
+    WaitAndLose,
+}
+
+/// A message as it came: its head, a line each, and its body.
+pub type Message = (String, Vec<u8>);
+
+/// Serves each connection of a new listener, on a thread of its own that ends with the process.
+fn serve_on_a_thread<F, R>(answer: impl FnOnce() -> F + Send + 'static) -> SocketAddr
+where
+    F: Fn(Request<Incoming>, Rc<Line>) -> R + 'static,
+    R: Future<Output = Response<Lines>> + 'static,
+{
+    let (told, addr) = mpsc::channel();
+    thread::spawn(move || {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+        LocalSet::new().block_on(&runtime, async move {
+            let listener = wire::listen((Ipv4Addr::LOCALHOST, 0).into()).expect("a free port");
+            let _ = told.send(listener.local_addr().expect("it is bound"));
+            let answer = Rc::new(answer());
+            loop {
+                let Ok((stream, _)) = listener.accept().await else { continue };
+                let (line, answer) = (Rc::new(Line::default()), answer.clone());
+                let own = line.clone();
+                spawn_local(wire::serve(stream, Rc::default(), line, move |r| answer(r, own.clone())));
+            }
+        });
+    });
+    addr.recv().expect("the thread starts")
+}
+
+async fn message(request: Request<Incoming>) -> Option<Message> {
+    let (parts, body) = request.into_parts();
+    let mut head = format!("{} {} HTTP/1.1\r\n", parts.method, parts.uri);
+    for (name, value) in &parts.headers {
+        head += &format!("{name}: {}\r\n", String::from_utf8_lossy(value.as_bytes()));
+    }
+    Some((head, body.collect().await.ok()?.to_bytes().to_vec()))
+}
+
+fn status(status: u16) -> Response<Lines> {
+    let mut answer = Response::new(Lines::whole(""));
+    *answer.status_mut() = StatusCode::from_u16(status).expect("a status of ours");
+    answer
+}
+
+/// An executor: it always has room, and does one act after the other, then [`Act::Done`].
+pub struct Executor {
+    pub addr: SocketAddr,
+    pub acts: Arc<Mutex<VecDeque<Act>>>,
+    pub seen: Arc<Mutex<Vec<Message>>>,
+    /// Lets one that waits go on.
+    pub go_on: UnboundedSender<()>,
+    /// Cut off: connections come up and stay open, and nothing is ever said.
+    pub mute: Arc<AtomicBool>,
+}
+
+#[derive(Clone)]
+struct Script {
+    acts: Arc<Mutex<VecDeque<Act>>>,
+    seen: Arc<Mutex<Vec<Message>>>,
+    wait: Arc<Turn<UnboundedReceiver<()>>>,
+    mute: Arc<AtomicBool>,
+}
+
+impl Executor {
+    pub fn start() -> Self {
+        let (go_on, wait) = unbounded_channel();
+        let script = Script {
+            acts: Arc::default(),
+            seen: Arc::default(),
+            wait: Arc::new(Turn::new(wait)),
+            mute: Arc::default(),
+        };
+        let (acts, seen, mute) = (script.acts.clone(), script.seen.clone(), script.mute.clone());
+        let addr = serve_on_a_thread(move || {
+            move |request, line| {
+                let script = script.clone();
+                async move { script.answer(request, line).await }
+            }
+        });
+        Executor { addr, acts, seen, go_on, mute }
+    }
+
+    /// Waits until so many allocations have come.
+    ///
+    /// # Panics
+    /// Where they do not come in time.
+    pub fn wait_for(&self, count: usize) {
+        let end = Instant::now() + PATIENCE;
+        while self.seen.lock().unwrap().len() < count {
+            assert!(Instant::now() < end, "allocations come in time");
+            thread::yield_now();
+        }
+    }
+}
+
+impl Script {
+    async fn answer(self, request: Request<Incoming>, line: Rc<Line>) -> Response<Lines> {
+        if self.mute.load(Ordering::Relaxed) {
+            return pending().await;
+        }
+        if request.method() == Method::GET {
+            return Response::new(Lines::whole("queue=0,x0=8"));
+        }
+        let id =
+            request.headers().get("request-id").and_then(|id| id.to_str().ok()).unwrap_or("").to_string();
+        let Some(message) = message(request).await else { return status(400) };
+        // The act is chosen before the test can see the allocation, so that it may list the next one.
+        let act = self.acts.lock().unwrap().pop_front().unwrap_or(Act::Done);
+        self.seen.lock().unwrap().push(message);
+        let say = |lines: &[serde_json::Value]| {
+            let (send, body) = Lines::new(None);
+            for said in lines {
+                let _ = send.send(format!("{said}\n").into());
+            }
+            Response::new(body)
+        };
+        let started = json!({"id": id, "state": "started"});
+        let lost = json!({"id": id, "state": "lost"});
+        let done = |id: &str, size: usize| json!({"id": id, "state": "done", "result": "r".repeat(size)});
+        match act {
+            Act::Done => say(&[started, json!({"id": id, "state": "running", "share": 0.4}), done(&id, 3)]),
+            Act::Large(size) => say(&[done(&id, size)]),
+            Act::Status500 => status(500),
+            Act::TurnedAway => {
+                let mut answer = status(503);
+                answer.headers_mut().insert("not-started", hyper::header::HeaderValue::from_static("1"));
+                answer
+            }
+            Act::Returned => say(&[json!({"id": id, "state": "returned"})]),
+            Act::Lost => say(&[started, lost]),
+            Act::Break => {
+                line.cut(Cut::Say(b""));
+                pending().await
+            }
+            // Until the node gives up and closes.
+            Act::Silent => pending().await,
+            Act::Garbage => {
+                line.cut(Cut::Say(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n"));
+                pending().await
+            }
+            Act::OtherId => say(&[done("0000000000000000", 3)]),
+            Act::Wait | Act::WaitAndLose => {
+                self.wait.lock().await.recv().await;
+                say(&[if act == Act::Wait { done(&id, 3) } else { lost }])
+            }
+        }
+    }
+}
+
+/// Discovery: every watch gets the first line, then what the test sends; an empty text breaks the watch off.
+pub struct Discovery {
+    pub addr: SocketAddr,
+    pub lines: UnboundedSender<String>,
+    /// The first line of each request that came.
+    pub asked: mpsc::Receiver<String>,
+}
+
+impl Discovery {
+    pub fn start(first: String) -> Self {
+        let (lines, to_send) = unbounded_channel::<String>();
+        let (ask, asked) = mpsc::channel();
+        let to_send = Arc::new(Turn::new(to_send));
+        let addr = serve_on_a_thread(move || {
+            move |request: Request<Incoming>, line: Rc<Line>| {
+                let _ = ask.send(format!("{} {} HTTP/1.1", request.method(), request.uri()));
+                let (send, body) = Lines::new(None);
+                let _ = send.send(format!("{first}\n").into());
+                let to_send = to_send.clone();
+                spawn_local(async move {
+                    let watching = async {
+                        let mut to_send = to_send.lock().await;
+                        loop {
+                            let text = tokio::select! {
+                                text = to_send.recv() => text.unwrap_or_default(),
+                                () = sleep(Duration::from_millis(500)) => "\n".into(),
+                            };
+                            if text.is_empty() {
+                                return line.cut(Cut::Say(b""));
+                            }
+                            if send.send(format!("{text}\n").into()).is_err() {
+                                return;
+                            }
+                        }
+                    };
+                    tokio::select! {
+                        () = watching => {}
+                        () = send.closed() => {}
+                    }
+                });
+                async move { Response::new(body) }
+            }
+        });
+        Discovery { addr, lines, asked }
+    }
+}
