--- /dev/null
+++ b/crates/cli/tests/rehearse.rs
@@ -0,0 +1,169 @@
+//! The command line with real nodes as processes: short days with the hard cases, and what cannot be played.
+use serde_json::Value;
+use std::path::PathBuf;
+use std::process::{Command, Output};
+
+fn troutknot(args: &[&str]) -> Output {
+    Command::new(env!("CARGO_BIN_EXE_troutknot")).args(args).output().unwrap()
+}
+
+fn file(name: &str, text: &str) -> PathBuf {
+    let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("{}-{name}", std::process::id()));
+    std::fs::write(&path, text).unwrap();
+    path
+}
+
+const DAY: &str = r#"
+name = "short"
+length = "4s"
+seed = 5
+[rules]
+ramp = "3s"
+told_at_latest = "1s"
+drain_grace = "500ms"
+[nodes]
+count = 2
+[[executors]]
+name = "box"
+count = 5
+slots = 4
+[[project_types]]
+name = "render"
+effect = "rerunnable"
+share = 3
+work = "20ms"
+promised_turnaround = "300ms"
+hard_limit = "800ms"
+[[project_types]]
+name = "publish"
+effect = "exclusive"
+share = 1
+work = "40ms"
+promised_turnaround = "400ms"
+hard_limit = "1s"
+credit = 3
+[front]
+notices_after = "500ms"
+[discovery]
+notice_most = "200ms"
+[traffic]
+load = 0.3
+"#;
+
+/// Plays a day with more lines; the report, the exit status and what was said.
+fn played(name: &str, more: &str) -> (Value, i32, String) {
+    let path = file(name, &format!("{DAY}{more}"));
+    let out = troutknot(&["rehearse", path.to_str().unwrap(), "--json"]);
+    let said = String::from_utf8_lossy(&out.stderr).to_string();
+    let report = serde_json::from_slice(&out.stdout).unwrap_or_else(|e| panic!("{e}: {said}"));
+    (report, out.status.code().unwrap(), said)
+}
+
+#[test]
+fn days_in_which_no_rule_breaks() {
+    // What strikes, and a check of the report that shows that it struck.
+    type Struck = fn(&Value) -> bool;
+    let cases: &[(&str, &str, Struck)] = &[
+        ("calm", "", |r| r["verdict"]["service"].as_f64() > Some(0.9)),
+        (
+            "a node killed with work out, that comes back with only its last list",
+            "[[events]]\nwhat = 'kill-node'\nat = '1s'\nnode = 0\nback = '700ms'\n",
+            |r| {
+                r["verdict"]["all"]["cut"].as_u64() > Some(0)
+                    || r["verdict"]["all"]["tries"] != r["verdict"]["all"]["requests"]
+            },
+        ),
+        (
+            "every executor slow together",
+            "[[troubles]]\nkind = 'slow'\nfrom = '1s'\nto = '2500ms'\nfactor = 6\n",
+            |r| r["verdict"]["all"]["p99_ms"].as_f64() > Some(100.0),
+        ),
+        ("clients that leave at the moment of the answer", "[clients]\nleave = 0.9\n", |r| {
+            r["verdict"]["all"]["left"].as_u64() > Some(50)
+        }),
+        (
+            "cold successors and a planned restart",
+            "[[events]]\nwhat = 'deploy'\nat = '300ms'\ngroup = 'box'\nevery = '400ms'\ncount = 3\n\
+             [[events]]\nwhat = 'restart-node'\nat = '800ms'\nnode = 1\nback = '200ms'\n\
+             [[events]]\nwhat = 'reread-nodes'\nat = '500ms'\n",
+            |r| r["verdict"]["cold_budget_used"].as_f64() > Some(0.0),
+        ),
+        (
+            "silence, resets and swallowed work",
+            "[[troubles]]\nkind = 'silence'\nfrom = '500ms'\nto = '2s'\nshare = 0.2\n\
+             [[troubles]]\nkind = 'resets'\nfrom = '1s'\nto = '3s'\nof_work = 0.2\n\
+             [[troubles]]\nkind = 'swallow'\nfrom = '1s'\nto = '3s'\nshare = 0.2\nproject_type = 'render'\n",
+            |r| r["verdict"]["all"]["aborted"].as_u64() > Some(0),
+        ),
+    ];
+    std::thread::scope(|all| {
+        for (k, (what, more, struck)) in cases.iter().enumerate() {
+            all.spawn(move || {
+                let (report, _, said) = played(&format!("day-{k}.toml"), more);
+                let verdict = &report["verdict"];
+                assert_eq!(verdict["breaches"].as_array().unwrap().len(), 0, "{what}: {verdict:#} {said}");
+                assert!(struck(&report), "{what} did not strike: {report:#}");
+            });
+        }
+    });
+}
+
+#[test]
+fn a_bar_that_is_missed_is_exit_status_1() {
+    let (report, status, _) = played(
+        "missed.toml",
+        "[[troubles]]\nkind = 'errors'\nfrom = '0s'\nto = '4s'\nof_work = 0.9\n[expect]\nservice = 0.9\n",
+    );
+    assert_eq!(status, 1, "{report:#}");
+}
+
+#[test]
+fn what_cannot_be_played_is_said_in_plain_lines_before_anything_starts() {
+    let bad = file("bad.toml", &DAY.replace("count = 5", "count = 5000").replace("slots = 4", "slots = 0"));
+    let fast = file(
+        "fast.toml",
+        &DAY.replace("load = 0.3", "load = 20").replace("work = \"20ms\"", "work = \"500us\""),
+    );
+    let many = file("many.toml", &DAY.replace("count = 2", "count = 60\ndescriptors = 65536"));
+    let config = file("node.json", "{\"name\": 5}");
+    let [bad, fast, many, config] = [&bad, &fast, &many, &config].map(|path| path.to_str().unwrap());
+    let cases: &[(&[&str], i32, &[&str])] = &[
+        (&["rehearse", "nowhere.toml"], 2, &["cannot read `nowhere.toml`"]),
+        (&["rehearse", bad], 2, &["`count` is 5000; 1 to 1000 is allowed", "`slots` is 0; 1 to 1024"]),
+        (&["check", bad, config], 2, &["`count` is 5000", "node.json"]),
+        (&["rehearse", fast], 3, &["requests a second; the kit carries 20000 at most"]),
+        (&["rehearse", many], 3, &["file descriptors"]),
+        (&["rehearse", fast, "--time-scale", "0"], 2, &["--time-scale is 0; 0.1 to 100 is allowed"]),
+        (&["node", "--config", config], 2, &["invalid type"]),
+        (&["rehearse"], 2, &["required arguments were not provided"]),
+        (&["emulate", bad], 2, &["`count` is 5000"]),
+    ];
+    for (args, status, parts) in cases {
+        let out = troutknot(args);
+        let said = String::from_utf8_lossy(&out.stderr).to_string();
+        assert_eq!((out.status.code(), out.stdout.len()), (Some(*status), 0), "{args:?}: {said}");
+        parts.iter().for_each(|part| assert!(said.contains(part), "{args:?}: {said}"));
+    }
+}
+
+#[test]
+fn help_that_shows_no_example_and_files_that_are_good() {
+    for verb in ["node", "rehearse", "emulate", "check", "completions"] {
+        let out = troutknot(&[verb, "--help"]);
+        let said = String::from_utf8_lossy(&out.stdout).to_string();
+        assert!(out.status.success() && said.contains(&format!("Example: troutknot {verb} ")), "{said}");
+    }
+    assert!(troutknot(&["--version"]).status.success());
+    let good = file("good.toml", DAY);
+    assert_eq!(troutknot(&["check", good.to_str().unwrap()]).status.code(), Some(0));
+    assert!(String::from_utf8_lossy(&troutknot(&["completions", "bash"]).stdout).contains("_troutknot"));
+}
+
+#[test]
+fn a_fleet_by_hand_lists_itself() {
+    let path = file("fleet.toml", DAY);
+    let out = troutknot(&["emulate", path.to_str().unwrap(), "--for", "300ms"]);
+    let said = String::from_utf8_lossy(&out.stdout).to_string();
+    assert_eq!(said.lines().filter(|l| l.starts_with("s-0000")).count(), 5, "{said}");
+    assert!(said.contains("discovery http://127."), "{said}");
+}
