--- a/crates/consul/src/blocking.rs
+++ b/crates/consul/src/blocking.rs
@@ -5,7 +5,7 @@
 /// Consul holds a query up to a sixteenth longer than it was asked to, so that all do not end at once.
 const JITTER_PART: f64 = 1.0 / 16.0;
 /// What an answer may take beside the wait.
-const WAY: Millis = 5000.0;
+const WAY: Millis = 3000.0;
 const FIRST_RETRY: Millis = 250.0;
 const MOST_DOUBLINGS: u32 = 8;
 
@@ -48,7 +48,7 @@
 
 impl Default for Pace {
     fn default() -> Self {
-        Pace { wait: 30_000.0, longest_retry: 10_000.0, least_between: 50.0, oldest_contact: 10_000.0 }
+        Pace { wait: 10_000.0, longest_retry: 10_000.0, least_between: 50.0, oldest_contact: 10_000.0 }
     }
 }
 
@@ -61,6 +61,8 @@
     NoLeader,
     #[error("its view is {0:.0} ms old")]
     Old(Millis),
+    #[error("its view, at index {0}, is behind one at {1} that is known")]
+    Behind(u64, u64),
     #[error("it has no usable X-Consul-Index")]
     NoIndex,
     #[error("{0}")]
@@ -84,6 +86,11 @@
     pace: Pace,
     index: u64,
     failures: u32,
+    /// The highest index whose answer was used, and how many answers in a row were behind it.
+    highest: u64,
+    behind: u32,
+    /// So many may be, one for each agent, before the indices are taken for a new count.
+    agents: u32,
 }
 
 fn escaped(text: &str) -> String {
@@ -98,8 +105,9 @@
 }
 
 impl Blocking {
-    pub fn new(watched: Watched, pace: Pace) -> Self {
-        Blocking { watched, pace, index: 0, failures: 0 }
+    /// A watch over so many agents.
+    pub fn new(watched: Watched, pace: Pace, agents: u32) -> Self {
+        Blocking { watched, pace, index: 0, failures: 0, highest: 0, behind: 0, agents }
     }
 
     pub fn watched(&self) -> &Watched {
@@ -141,11 +149,12 @@
         held + WAY
     }
 
-    /// Whether the answer may be used: looked at before its body is.
+    /// Whether the answer may be used: looked at before its body is. One that is behind what is known could
+    /// bring back an executor that drains, so it is not used before all agents are behind.
     ///
     /// # Errors
     /// Why it may not.
-    pub fn check(&self, head: &Head) -> Result<(), Refused> {
+    pub fn check(&mut self, head: &Head) -> Result<(), Refused> {
         if head.status != 200 {
             // The documentation promises no status for a lost leader; agents answer 500.
             let lost = head.known_leader == Some("false");
@@ -158,7 +167,12 @@
         if age > self.pace.oldest_contact {
             return Err(Refused::Old(age));
         }
-        head.index.and_then(|text| text.parse::<u64>().ok()).map(|_| ()).ok_or(Refused::NoIndex)
+        let index = head.index.and_then(|text| text.parse::<u64>().ok()).ok_or(Refused::NoIndex)?;
+        if index < self.highest && self.behind < self.agents {
+            self.behind += 1;
+            return Err(Refused::Behind(index, self.highest));
+        }
+        Ok(())
     }
 
     /// The answer was used: what the next question waits on, and how long to wait before it is asked. An
@@ -166,7 +180,7 @@
     pub fn answered(&mut self, head: &Head) -> Millis {
         let index = head.index.and_then(|text| text.parse::<u64>().ok()).unwrap_or(0).max(1);
         self.index = if index < self.index { 0 } else { index };
-        self.failures = 0;
+        (self.failures, self.highest, self.behind) = (0, index, 0);
         self.pace.least_between
     }
 
--- a/crates/consul/src/health.rs
+++ b/crates/consul/src/health.rs
@@ -58,6 +58,8 @@
     Told(f64),
     /// The index at which the service was registered.
     Registered(u64),
+    /// It is not known, as in a list from before.
+    Unknown,
 }
 
 /// One instance of a service.
--- a/crates/consul/src/roster.rs
+++ b/crates/consul/src/roster.rs
@@ -111,6 +111,10 @@
     missing_since: Option<Millis>,
     /// Missing, and may not leave yet.
     kept: bool,
+    /// When that may end.
+    kept_until: Millis,
+    /// When it is to be looked at again, as it stands among those that are due.
+    due: Option<Millis>,
     penalty: f64,
     penalty_at: Millis,
     held_until: Option<Millis>,
@@ -194,10 +198,13 @@
                         started: match member.start {
                             Start::Told(at) => Some(at),
                             Start::Registered(_) => (!first).then_some(self.unix + now),
+                            Start::Unknown => None,
                         },
                         well: false,
                         missing_since: None,
                         kept: false,
+                        kept_until: 0.0,
+                        due: None,
                         penalty: 0.0,
                         penalty_at: now,
                         held_until: None,
@@ -221,9 +228,22 @@
         }
     }
 
-    /// The watch is no longer asked; what it alone listed stays as it is, as if it were silent.
-    pub fn retire(&mut self, watch: WatchNumber) {
+    /// The watch is no longer asked, by the operator's word: what it alone listed leaves, however much it is.
+    pub fn remove(&mut self, watch: WatchNumber) {
         self.answered.remove(&watch);
+        for (id, standing) in &mut self.standing {
+            if standing.listed_by.remove(&watch).is_some() {
+                if standing.listed_by.is_empty() {
+                    standing.missing_since = Some(f64::NEG_INFINITY);
+                }
+                self.touched.insert(id.clone());
+            }
+        }
+    }
+
+    /// Whether a watch has answered at all.
+    pub fn has_answered(&self, watch: WatchNumber) -> bool {
+        self.answered.contains(&watch)
     }
 
     /// When something changes by itself next.
@@ -255,13 +275,20 @@
                     changes.push(wanted);
                 }
             }
-            let gone = standing.told.as_ref().is_some_and(|told| told.state == State::Gone);
-            if let Some(since) = standing.missing_since.filter(|_| gone) {
-                if now >= since + self.terms.forget_after {
-                    self.standing.remove(&id);
-                } else {
-                    self.wake(since + self.terms.forget_after, &id);
-                }
+            let forgotten_at = standing.missing_since.filter(|_| standing.is_gone());
+            let forgotten_at = forgotten_at.map(|since| since + self.terms.forget_after);
+            if forgotten_at.is_some_and(|at| now >= at) {
+                self.standing.remove(&id);
+                continue;
+            }
+            let kept_until = standing.kept.then_some(standing.kept_until);
+            let times = [standing.held_until, kept_until, forgotten_at].into_iter().flatten();
+            let due = times.reduce(f64::min);
+            if let Some(was) = std::mem::replace(&mut standing.due, due) {
+                self.due.remove(&(was.max(0.0).to_bits(), id.clone()));
+            }
+            if let Some(at) = due {
+                self.due.insert((at.max(0.0).to_bits(), id));
             }
         }
         let kept = self.kept();
@@ -277,10 +304,6 @@
         (changes, std::mem::take(&mut self.notices))
     }
 
-    fn wake(&mut self, at: Millis, id: &str) {
-        self.due.insert((at.max(0.0).to_bits(), id.to_string()));
-    }
-
     /// Takes in what the watches now say of one: its start, whether it does well, and for how long it is held
     /// out.
     fn look_at(&mut self, now: Millis, id: &str) {
@@ -292,12 +315,16 @@
             s.missing_since = Some(now);
         }
         let mut restarted = false;
-        if !s.listed_by.is_empty() && s.member.start != s.start {
+        if !s.listed_by.is_empty() && s.start == Start::Unknown {
+            // Known from before by its name alone.
+            s.start = s.member.start;
+            s.started = if let Start::Told(at) = s.start { Some(at) } else { None };
+        } else if !s.listed_by.is_empty() && s.member.start != s.start && s.member.start != Start::Unknown {
             restarted = true;
             s.start = s.member.start;
             s.started = match s.start {
                 Start::Told(at) => Some(at),
-                Start::Registered(_) => Some(self.unix + now),
+                _ => Some(self.unix + now),
             };
         }
         // An operator's word is no flap.
@@ -326,8 +353,7 @@
                     self.notices.push(Notice::LetIn { id: id.into() });
                 }
             }
-            Some(until) => self.wake(until, id),
-            None => {}
+            _ => {}
         }
     }
 
@@ -362,7 +388,7 @@
                 }
                 continue;
             }
-            self.wake(next.min(believed), &id);
+            s.kept_until = next.min(believed);
         }
     }
 }
--- a/crates/consul/tests/roster.rs
+++ b/crates/consul/tests/roster.rs
@@ -205,3 +205,31 @@
     // Undamped each of the two hundred would come back thirty times.
     assert!(ready < 200 * 4, "{ready} of {sent}");
 }
+
+#[test]
+fn a_list_from_before_stays_until_all_have_answered_and_is_not_cold() {
+    let mut roster = Roster::new(Terms::default(), UNIX);
+    let saved = WatchNumber(9);
+    let of = |id: &str| member(id, Health::Passing, Start::Unknown);
+    roster.answer(0.0, saved, &[of("a"), of("b"), of("c")]);
+    assert_eq!(told(&mut roster, 0.0), "a Ready, b Ready, c Ready");
+    let registered = |id: &str| member(id, Health::Passing, Start::Registered(7));
+    roster.answer(1.0, ONE, &[registered("a"), registered("b")]);
+    roster.answer(1.0, saved, &[]);
+    let (changes, _) = roster.changes(1.0);
+    assert!(changes.iter().all(|c| c.started.is_none()), "{changes:?}");
+    assert_eq!(roster.kept(), 0);
+    assert!(changes.iter().any(|c| c.member.id == "c" && c.state == State::Gone));
+}
+
+#[test]
+fn a_service_that_the_operator_takes_out_leaves_at_once_however_large() {
+    let mut roster = Roster::new(Terms::default(), UNIX);
+    roster.answer(0.0, ONE, &many(10));
+    roster.changes(0.0);
+    roster.remove(ONE);
+    assert_eq!(count(&mut roster, 1.0, State::Gone), 10);
+    roster.changes(2.0);
+    roster.answer(3.0, ONE, &many(10));
+    assert_eq!(count(&mut roster, 3.0, State::Ready), 10);
+}
