The node follows Consul where the operator's file says so, alone or beside the platform's list

Need: membership from Consul's catalogue and health API, as a second source through the same events.

Change: TROUTKNOT_FILE names the operator's own file; lists/ has one follower a source and a merge in a fixed order; the strictest word of any source counts. SIGHUP changes agents and services. Without the file nothing changes.

--- a/crates/daemon/src/briefing.rs
+++ b/crates/daemon/src/briefing.rs
@@ -1,4 +1,5 @@
 //! What a node is told: read at its start, and again whenever it is asked to.
+use crate::operator::{Consul, OperatorFile};
 use crate::words::{List, Vocabulary};
 use serde::Deserialize;
 use std::io::Read;
@@ -36,6 +37,33 @@
     pub words: Vocabulary,
 }
 
+/// The operator's own file, and who is told when it says otherwise.
+pub struct Own {
+    pub path: Option<PathBuf>,
+    pub file: OperatorFile,
+    pub consul: watch::Sender<Option<Consul>>,
+}
+
+impl Own {
+    fn reread(&mut self) {
+        let Some(path) = &self.path else { return };
+        match OperatorFile::read(path) {
+            Err(why) => {
+                let why = why.replace('\n', "; ");
+                tracing::warn!("new file of the operator not taken, the old one goes on: {why}");
+            }
+            Ok(newer) => {
+                if newer.lists.sources != self.file.lists.sources {
+                    tracing::info!("the sources of the list are kept as at the start");
+                }
+                // Also where it says the same: the token's file may hold another one.
+                self.consul.send_replace(newer.lists.consul.clone());
+                self.file = newer;
+            }
+        }
+    }
+}
+
 impl Briefing {
     pub fn read(path: &Path) -> Result<Self, String> {
         let shown = path.display();
@@ -64,9 +92,16 @@
         differ.into_iter().filter(|(_, differs)| *differs).map(|(name, _)| name).collect()
     }
 
-    /// Reads the file again at each signal, until the node's end, and says which list is to be followed.
-    pub async fn reread(self, path: PathBuf, mut asked: Signal, discovery: watch::Sender<SocketAddr>) {
+    /// Reads the files again at each signal, until the node's end, and says which list is to be followed.
+    pub async fn reread(
+        self,
+        path: PathBuf,
+        mut asked: Signal,
+        discovery: watch::Sender<SocketAddr>,
+        mut own: Own,
+    ) {
         while asked.recv().await.is_some() {
+            own.reread();
             // Guards against a new file that is bad: the node goes on as it was.
             match Briefing::read(&path).and_then(|newer| newer.understood().map(|_| newer)) {
                 Err(why) => tracing::warn!("new configuration not taken, the old one goes on: {why}"),
--- a/crates/daemon/src/clients/mod.rs
+++ b/crates/daemon/src/clients/mod.rs
@@ -21,6 +21,8 @@
     pub words: Rc<Vocabulary>,
     pub events: mpsc::Sender<Event>,
     pub stage: watch::Receiver<Stage>,
+    /// What is said beside the health, where the operator's file asks for more than the platform has.
+    status: Rc<RefCell<String>>,
     held: Rc<HeldBytes>,
     rings: Rc<HeldBytes>,
     slow_bodies: Semaphore,
@@ -87,11 +89,13 @@
         words: Rc<Vocabulary>,
         events: mpsc::Sender<Event>,
         stage: watch::Receiver<Stage>,
+        status: Rc<RefCell<String>>,
     ) -> Rc<Self> {
         Rc::new(Clients {
             words,
             events,
             stage,
+            status,
             held: HeldBytes::new(limits.held_bytes),
             rings: HeldBytes::new(limits.client_rings),
             slow_bodies: Semaphore::new(limits.slow_bodies),
@@ -218,7 +222,8 @@
                 Ok(Came::AsksReady) => {
                     // Whoever asks that needs no connection afterwards.
                     let ready = *self.stage.borrow() == Stage::Serving;
-                    self.write(connection, if ready { 200 } else { 503 }, false, &[], &[]).await;
+                    let said = self.status.borrow().clone();
+                    self.write(connection, if ready { 200 } else { 503 }, false, &[], said.as_bytes()).await;
                     false
                 }
                 Ok(Came::Work { work, left, keep }) => {
@@ -361,7 +366,7 @@
         let limits = Rc::new(Limits::of(&stated));
         let (events, mut told) = mpsc::channel(16);
         let (_stage, staged) = watch::channel(Stage::Serving);
-        let clients = Clients::new(limits, words, events, staged);
+        let clients = Clients::new(limits, words, events, staged, Rc::default());
         let whole = "POST /render HTTP/1.1\r\nHost: a\r\nRequest-Id: 1\r\nConnection: close\r\n\
                      Content-Length: 2\r\n\r\nab";
         let local = tokio::task::LocalSet::new();
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -11,18 +11,22 @@
 mod http1;
 mod limits;
 mod lists;
+mod operator;
 mod ring;
 mod stage;
 mod words;
 
-use briefing::{Briefing, Understood};
+use briefing::{Briefing, Own, Understood};
 use clients::Clients;
 use clock::Clock;
 use driver::Driver;
 use events::Event;
 use executors::Executors;
 use limits::{Limits, Stated};
+use lists::{Told, merge::Merge};
+use operator::{OperatorFile, Source};
 use stage::Stage;
+use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
@@ -78,6 +82,14 @@
     understood.map(|_| ()).map_err(|why| format!("`{}`: {why}", path.display()))
 }
 
+/// Says whether an operator's own file could be used.
+///
+/// # Errors
+/// Every fault on a line of its own.
+pub fn check_own(path: &Path) -> Result<(), String> {
+    OperatorFile::read(path).map(|_| ())
+}
+
 /// The file that `ROUTER_CONFIG` names.
 ///
 /// # Errors
@@ -90,6 +102,8 @@
     // A node that is asked to read its configuration again before it serves must not end by that.
     let reread = signal(SignalKind::hangup()).map_err(|e| format!("no signals: {e}"))?;
     let Understood { seed, values, words } = told.understood()?;
+    let own_path = OperatorFile::named();
+    let file = own_path.as_deref().map(OperatorFile::read).transpose()?.unwrap_or_default();
     let words = Rc::new(words);
     let span = |name: &str| {
         let millis = values.number(name, -1.0);
@@ -114,25 +128,50 @@
     let (stage, staged) = watch::channel(Stage::Starting);
     let follow = Rc::new(Notify::new());
     let executors = Executors::new(limits.clone(), words.clone(), events.clone());
-    let clients = Clients::new(limits.clone(), words.clone(), events.clone(), staged);
+    let status: Rc<RefCell<String>> = Rc::default();
+    let clients = Clients::new(limits.clone(), words.clone(), events.clone(), staged, status.clone());
     let dispatcher = Dispatcher::new(values, seed, clock.now());
     let mut driver =
         Driver::new(dispatcher, clock, words.clone(), executors.clone(), follow.clone(), told_events, stage);
     let version = told.known.as_ref().map(|known| known.version);
+    let before = told.known.as_ref().map_or(Vec::new(), |known| known.entries.clone());
     if let Some(known) = told.known.take() {
         driver.tell(clock.now(), Event::List(ListKind::Saved, known.entries));
     }
     let (discovery, followed) = watch::channel(told.discovery);
-    let follower = lists::platform::Follower {
-        discovery: followed,
-        limits: limits.clone(),
-        words,
-        events: events.clone(),
-        ask: follow.clone(),
-    };
-    // The list is followed from the start, also where nobody has to ask for it.
-    follow.notify_one();
-    spawn_local(follower.run(version));
+    let (consul, consul_wanted) = watch::channel(file.lists.consul.clone());
+    let merge: Rc<RefCell<Merge>> = Rc::default();
+    for (place, source) in file.lists.sources.iter().enumerate() {
+        let several = file.lists.sources.len() > 1;
+        let events = events.clone();
+        let told = if several { Told::among(events, place, &merge) } else { Told::alone(events) };
+        match source {
+            Source::Platform => {
+                if several {
+                    // Its watch goes on from the version held before, and the node has been told of that.
+                    let _ = merge.borrow_mut().take(place, ListKind::Whole, before.clone());
+                }
+                let follower = lists::platform::Follower {
+                    discovery: followed.clone(),
+                    limits: limits.clone(),
+                    words: words.clone(),
+                    told,
+                    ask: follow.clone(),
+                };
+                // The list is followed from the start, also where nobody has to ask for it.
+                follow.notify_one();
+                spawn_local(follower.run(version));
+            }
+            Source::Consul => {
+                let (limits, wanted) = (limits.clone(), consul_wanted.clone());
+                let follower =
+                    lists::consul::Follower { limits, clock, told, wanted, status: status.clone() };
+                // With the platform's list beside it, that one keeps what was held before.
+                let known = if several { Vec::new() } else { before.clone() };
+                spawn_local(follower.run(known));
+            }
+        }
+    }
     spawn_local(executors.retire_idle());
     spawn_local(clients.clone().accept(listener));
     let stage = driver.stage.clone();
@@ -145,7 +184,8 @@
         limits.executors,
         limits.held_bytes
     );
-    spawn_local(told.reread(path, reread, discovery));
+    let own = Own { path: own_path, file, consul };
+    spawn_local(told.reread(path, reread, discovery, own));
     let unlisted = sleep(limits.ready_wait);
     tokio::pin!(driver, unlisted);
     loop {
--- a/crates/daemon/src/limits.rs
+++ b/crates/daemon/src/limits.rs
@@ -27,6 +27,8 @@
     pub held_bytes: usize,
     /// One line of the list.
     pub list_line: usize,
+    /// One answer of Consul, where it is followed.
+    pub list_answer: usize,
     /// Executors that are kept in mind over the node's life.
     pub known: usize,
     /// Client connections that are served; so many more are accepted only to be told that the node is full.
@@ -109,6 +111,7 @@
             slow_bodies: memory / 16 / body,
             held_bytes: memory / 6,
             list_line: (memory / 32).min(8 * 1024 * 1024),
+            list_answer: (memory / 6).min(12 * 1024 * 1024),
             known: memory / 12_288,
             clients,
             turned_away,
--- /dev/null
+++ b/crates/daemon/src/lists/merge.rs
@@ -0,0 +1,96 @@
+//! Several sources of one list. Figures of an executor come from the first source that lists it; it is ready
+//! only while every source that names it says so, for what any of them has told counts as learned.
+use crate::words::Entry;
+use std::collections::BTreeMap;
+use troutknot::ListKind;
+
+/// What each source last said of one executor, by the source's place in the order.
+#[derive(Default)]
+struct Said {
+    by: BTreeMap<usize, Entry>,
+    told: Option<Entry>,
+}
+
+#[derive(Default)]
+pub struct Merge {
+    executors: BTreeMap<String, Said>,
+}
+
+const READY: &str = "Ready";
+const GONE: &str = "Gone";
+
+impl Said {
+    fn wanted(&self) -> Option<Entry> {
+        let first = self.by.values().find(|entry| entry.state != GONE).or(self.by.values().next())?;
+        let mut wanted = first.clone();
+        // One that a source has let go and another still lists only drains: it may be back there.
+        if wanted.state == READY
+            && let Some(strict) = self.by.values().find(|entry| entry.state != READY)
+        {
+            wanted.state = if strict.state == GONE { "Terminating".into() } else { strict.state.clone() };
+        }
+        Some(wanted)
+    }
+}
+
+impl Merge {
+    /// What changes for the node by a source's word.
+    pub fn take(&mut self, source: usize, kind: ListKind, entries: Vec<Entry>) -> Vec<Entry> {
+        let mut touched: Vec<String> = entries.iter().map(|entry| entry.id.clone()).collect();
+        if kind != ListKind::Changes {
+            // Who is missing from a whole list is gone.
+            let named: std::collections::HashSet<&str> =
+                entries.iter().map(|entry| entry.id.as_str()).collect();
+            for (id, said) in &mut self.executors {
+                if let Some(entry) = said.by.get_mut(&source)
+                    && !named.contains(id.as_str())
+                {
+                    entry.state = GONE.into();
+                    touched.push(id.clone());
+                }
+            }
+        }
+        for entry in entries {
+            let said = self.executors.entry(entry.id.clone()).or_default();
+            said.by.insert(source, entry);
+        }
+        let mut changes = Vec::new();
+        for id in touched {
+            let Some(said) = self.executors.get_mut(&id) else { continue };
+            let Some(wanted) = said.wanted() else { continue };
+            if said.told.as_ref() != Some(&wanted) {
+                said.told = Some(wanted.clone());
+                changes.push(wanted);
+            }
+            // Guards against a list that names ever new ones: who is gone everywhere is not kept in mind.
+            if said.by.values().all(|entry| entry.state == GONE) {
+                self.executors.remove(&id);
+            }
+        }
+        changes
+    }
+}
+
+#[test]
+fn sources_that_disagree_are_settled_by_the_strictest_word_and_the_first_figures() {
+    let entry = |id: &str, addr: &str, state: &str| Entry::of(id, addr, state);
+    let mut merge = Merge::default();
+    let mut said = |source, kind, entries: &[(&str, &str, &str)]| {
+        let entries = entries.iter().map(|(id, addr, state)| entry(id, addr, state)).collect();
+        let changes: Vec<String> = merge
+            .take(source, kind, entries)
+            .into_iter()
+            .map(|e| format!("{} {} {}", e.id, e.addr, e.state))
+            .collect();
+        changes.join(", ")
+    };
+    use ListKind::{Changes, Whole};
+    assert_eq!(said(1, Whole, &[("a", "two", "Ready"), ("b", "two", "Ready")]), "a two Ready, b two Ready");
+    assert_eq!(said(0, Whole, &[("a", "one", "Ready")]), "a one Ready", "the first one's figures");
+    assert_eq!(said(1, Changes, &[("a", "two", "Terminating")]), "a one Terminating", "any word counts");
+    assert_eq!(said(1, Changes, &[("a", "two", "Ready")]), "a one Ready");
+    assert_eq!(said(1, Whole, &[("b", "two", "Ready")]), "a one Terminating", "let go by one");
+    assert_eq!(said(0, Whole, &[]), "a one Gone", "and by both");
+    assert_eq!(said(1, Changes, &[("b", "two", "Ready")]), "", "nothing twice");
+    assert_eq!(said(1, Changes, &[("a", "two", "Ready")]), "a two Ready", "back");
+}
--- a/crates/daemon/src/lists/platform.rs
+++ b/crates/daemon/src/lists/platform.rs
@@ -3,12 +3,13 @@
 use crate::held::HeldBytes;
 use crate::http1::{Connection, Failed};
 use crate::limits::Limits;
+use crate::lists::Told;
 use crate::words::{self, List, Vocabulary};
 use bytes::BytesMut;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio::net::TcpStream;
-use tokio::sync::{Notify, mpsc, watch};
+use tokio::sync::{Notify, watch};
 use tokio::time::timeout;
 use troutknot::{Event as Heard, ListKind};
 
@@ -20,7 +21,7 @@
     pub discovery: watch::Receiver<SocketAddr>,
     pub limits: Rc<Limits>,
     pub words: Rc<Vocabulary>,
-    pub events: mpsc::Sender<Event>,
+    pub told: Told,
     /// Asks for a watch.
     pub ask: Rc<Notify>,
 }
@@ -75,7 +76,7 @@
             };
             moved = false;
             tracing::warn!("watch of the list broke off: {why}");
-            if self.events.send(Event::Heard(Heard::ListLost)).await.is_err() {
+            if self.told.event(Event::Heard(Heard::ListLost)).await.is_err() {
                 return;
             }
         }
@@ -96,7 +97,7 @@
         }
         // The watch stands, even if the list follows late.
         let none = Heard::ListTold { kind: ListKind::Changes, entries: Vec::new() };
-        self.events.send(Event::Heard(none)).await.map_err(|_| "the node ends".to_string())?;
+        self.told.event(Event::Heard(none)).await?;
         let (mut buffer, most, mut first) = (BytesMut::new(), self.limits.list_line, true);
         loop {
             let more = connection.body(&mut head.body, &mut buffer, most, true);
@@ -105,7 +106,7 @@
                 let list: List = serde_json::from_slice(&line).map_err(|e| format!("garbage: {e}"))?;
                 // Guards against a move to another address between the two: a version that counts as known
                 // has been told.
-                let told = self.events.reserve().await.map_err(|_| "the node ends".to_string())?;
+                let told = self.told.room().await?;
                 let news = versions.take(&list, first);
                 first = false;
                 if news.is_none() && !list.entries.is_empty() {
@@ -114,7 +115,7 @@
                 // That nothing has changed is word from the list as well.
                 let (kind, entries) =
                     news.map_or((ListKind::Changes, Vec::new()), |kind| (kind, list.entries));
-                told.send(Event::List(kind, entries));
+                told.send(self.told.list(kind, entries));
             }
             if ended {
                 return Ok(());
--- a/crates/daemon/src/words.rs
+++ b/crates/daemon/src/words.rs
@@ -294,18 +294,26 @@
     pub entries: Vec<Entry>,
 }
 
-#[derive(Deserialize, Clone, Debug)]
+#[derive(Deserialize, Clone, Debug, PartialEq)]
 pub struct Entry {
     pub id: String,
     /// Missing, perhaps, where the executor is gone.
     #[serde(default)]
     pub addr: String,
-    zone: Option<String>,
-    kind: Option<String>,
-    cell: Option<u32>,
+    pub zone: Option<String>,
+    pub kind: Option<String>,
+    pub cell: Option<u32>,
     pub state: String,
-    weight: Option<f64>,
-    started_ms: Option<f64>,
+    pub weight: Option<f64>,
+    pub started_ms: Option<f64>,
+}
+
+#[cfg(test)]
+impl Entry {
+    pub fn of(id: &str, addr: &str, state: &str) -> Self {
+        let (id, addr, state) = (id.into(), addr.into(), state.into());
+        Entry { id, addr, zone: None, kind: None, cell: None, state, weight: None, started_ms: None }
+    }
 }
 
 #[test]
