Stand-in agents of Consul, and the node tested against every way in which they go wrong

Need: each hard case of a Consul-fed list must be provoked.

Nine tests run the node as a process against them.

--- /dev/null
+++ b/crates/daemon/tests/consul.rs
@@ -0,0 +1,345 @@
+//! A node that follows Consul, as a process between scripted executors and stand-ins of agents.
+mod common;
+
+use common::*;
+use serde_json::{Value, json};
+use std::io::Write;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::mpsc;
+use std::thread;
+use std::time::{Duration, Instant};
+use tokio::sync::mpsc::{UnboundedSender, unbounded_channel};
+use tokio::task::LocalSet;
+use troutknot_emulator::scripted::{Act, Discovery, Executor};
+use troutknot_standins::consul::{Agent, Cluster, Instance, Status, Wrong};
+
+/// The stand-ins on a thread of their own.
+struct Standins {
+    jobs: UnboundedSender<Job>,
+    agents: Vec<SocketAddr>,
+}
+
+type Job = Box<dyn FnOnce(&Rc<Cluster>, &[Rc<Agent>]) + Send>;
+
+impl Standins {
+    fn start(agents: usize, token: Option<&'static str>) -> Self {
+        let (jobs, mut to_do) = unbounded_channel::<Job>();
+        let (told, addrs) = mpsc::channel();
+        thread::spawn(move || {
+            let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+            LocalSet::new().block_on(&runtime, async move {
+                let cluster = Cluster::new("dc1");
+                let start = |_| Agent::start(&cluster, ([127, 0, 0, 1], 0).into(), token).unwrap();
+                let agents: Vec<Rc<Agent>> = (0..agents).map(start).collect();
+                told.send(agents.iter().map(|agent| agent.addr).collect()).unwrap();
+                while let Some(job) = to_do.recv().await {
+                    job(&cluster, &agents);
+                }
+            });
+        });
+        Standins { jobs, agents: addrs.recv().unwrap() }
+    }
+
+    /// Does something on that thread, and waits for what comes of it.
+    fn with<R: Send + 'static>(
+        &self,
+        job: impl FnOnce(&Rc<Cluster>, &[Rc<Agent>]) -> R + Send + 'static,
+    ) -> R {
+        let (done, result) = mpsc::channel();
+        let job: Job = Box::new(move |cluster, agents| _ = done.send(job(cluster, agents)));
+        assert!(self.jobs.send(job).is_ok());
+        result.recv().unwrap()
+    }
+
+    fn script(&self, agent: usize, wrong: Wrong) {
+        self.with(move |_, agents| agents[agent].script(wrong));
+    }
+
+    fn register(&self, executors: &[&Executor]) {
+        let addrs: Vec<SocketAddr> = executors.iter().map(|e| e.addr).collect();
+        self.with(move |cluster, _| {
+            let of = |(k, addr): (usize, &SocketAddr)| Instance::new(&format!("s{k}"), *addr);
+            cluster.register_all("box", addrs.iter().enumerate().map(of).collect());
+        });
+    }
+
+    fn set(&self, id: &'static str, status: Status) {
+        self.with(move |cluster, _| cluster.set("box", &[id], status));
+    }
+}
+
+fn own_file(path: Option<&str>, agents: &[SocketAddr], more: &str) -> String {
+    static NUMBER: AtomicU32 = AtomicU32::new(0);
+    let path = path.map(String::from).unwrap_or_else(|| {
+        let number = NUMBER.fetch_add(1, Ordering::Relaxed);
+        format!("{}/own-{}-{number}.toml", env!("CARGO_TARGET_TMPDIR"), std::process::id())
+    });
+    let agents: Vec<String> = agents.iter().map(|a| format!("\"{a}\"")).collect();
+    let text = format!(
+        "[lists]\nsources = [\"consul\"]\n[lists.consul]\nagents = [{}]\nwait = \"300ms\"\n\
+         longest_retry = \"250ms\"\n{more}\n[[lists.consul.services]]\nname = \"box\"\n",
+        agents.join(", ")
+    );
+    std::fs::write(&path, text).unwrap();
+    path
+}
+
+fn nowhere() -> SocketAddr {
+    ([127, 0, 0, 1], 9).into()
+}
+
+fn follow(own: &str) -> Node {
+    Node::start_by(nowhere(), (256, 64), settings(), "debug", Value::Null, own)
+}
+
+/// How many of so many work units each executor got.
+fn used(node: &Node, times: usize, executors: &[&Executor]) -> Vec<usize> {
+    for _ in 0..times {
+        assert_eq!(node.ask(work("render", &new_id(), 3.0, "")).0, 200);
+    }
+    executors.iter().map(|e| std::mem::take(&mut *e.seen.lock().unwrap()).len()).collect()
+}
+
+fn wait_until_used(node: &Node, what: &str, executors: &[&Executor], expected: &[bool]) {
+    until(what, || used(node, 12, executors).iter().map(|n| *n > 0).eq(expected.iter().copied()));
+}
+
+#[test]
+fn failing_maintained_and_deregistered_executors_get_nothing_new() {
+    let (one, two, three) = (Executor::start(), Executor::start(), Executor::start());
+    let all = [&one, &two, &three];
+    let standins = Standins::start(1, None);
+    standins.register(&all);
+    let mut node = follow(&own_file(None, &standins.agents, ""));
+    wait_until_used(&node, "all are used", &all, &[true, true, true]);
+    // Work that is out goes on.
+    one.acts.lock().unwrap().push_back(Act::Wait);
+    let mut taken = node.connect();
+    taken.get_mut().write_all(work("publish", &new_id(), 30.0, "").as_bytes()).unwrap();
+    until("it goes to the one that waits", || {
+        taken.get_ref().set_nonblocking(true).unwrap();
+        let answered = taken.get_ref().peek(&mut [0]).is_ok_and(|n| n > 0);
+        taken.get_ref().set_nonblocking(false).unwrap();
+        if answered {
+            // It went to another; then one more is sent.
+            assert_eq!(answer(&mut taken).0, 200);
+            taken.get_mut().write_all(work("publish", &new_id(), 30.0, "").as_bytes()).unwrap();
+        }
+        !one.seen.lock().unwrap().is_empty()
+    });
+    standins.set("s0", Status::Critical);
+    wait_until_used(&node, "the failing one is left out", &all, &[false, true, true]);
+    one.go_on.send(()).unwrap();
+    assert_eq!(answer(&mut taken).0, 200, "what was out is answered");
+    standins.set("s1", Status::Maintenance);
+    wait_until_used(&node, "so is the maintained one", &all, &[false, false, true]);
+    standins.set("s1", Status::Warning);
+    standins.with(|cluster, _| cluster.deregister("box", "s2"));
+    wait_until_used(&node, "and the deregistered one", &all, &[false, true, false]);
+    let said = node.ask(HEALTH).1;
+    assert!(String::from_utf8_lossy(&said.1).contains("list from consul: 2 listed"), "{said:?}");
+    // A change that comes while the node ends.
+    node.terminate();
+    node.logged("asked to end");
+    standins.set("s0", Status::Passing);
+    assert!(node.process.wait().unwrap().success());
+}
+
+#[test]
+fn whatever_an_agent_says_wrongly_the_last_list_stays() {
+    let wrongs = [
+        (Wrong::Silent, "silent for too long"),
+        (Wrong::Status500, "status 500"),
+        (Wrong::NoLeader, "it has no leader"),
+        (Wrong::HalfBody, "gives no list"),
+        (Wrong::Garbage, "no JSON of the health API"),
+    ];
+    thread::scope(|all| {
+        for (wrong, said) in wrongs {
+            all.spawn(move || {
+                let (one, two) = (Executor::start(), Executor::start());
+                let standins = Standins::start(1, None);
+                standins.register(&[&one, &two]);
+                let node = follow(&own_file(None, &standins.agents, ""));
+                wait_until_used(&node, "both are used", &[&one, &two], &[true, true]);
+                standins.script(0, wrong);
+                let line = node.logged("gives no list of box");
+                assert!(line.contains(said) && line.contains("2 listed"), "{wrong:?}: {line}");
+                wait_until_used(&node, "both are used still", &[&one, &two], &[true, true]);
+                standins.set("s0", Status::Critical);
+                standins.script(0, Wrong::Nothing);
+                node.logged("consul answers again for box");
+                wait_until_used(&node, "what it missed counts", &[&one, &two], &[false, true]);
+            });
+        }
+    });
+}
+
+#[test]
+fn an_emptied_list_is_kept_and_said_so() {
+    let executors: Vec<Executor> = (0..4).map(|_| Executor::start()).collect();
+    let all: Vec<&Executor> = executors.iter().collect();
+    let standins = Standins::start(2, None);
+    standins.register(&all);
+    let node = follow(&own_file(None, &standins.agents, ""));
+    wait_until_used(&node, "all are used", &all, &[true; 4]);
+    (0..2).for_each(|agent| standins.script(agent, Wrong::Empty));
+    // A new index, so that those that wait are answered.
+    standins.set("s0", Status::Passing);
+    let line = node.logged("too many vanished at once");
+    assert!(line.contains("2 of 2 that are missing stay listed"), "{line}");
+    assert_eq!(used(&node, 20, &all).iter().sum::<usize>(), 20, "the rest is served by");
+    (0..2).for_each(|agent| standins.script(agent, Wrong::Nothing));
+    standins.set("s0", Status::Passing);
+    node.logged("no executor that is missing stays listed any more");
+}
+
+#[test]
+fn agents_that_disagree_bring_nothing_back_and_the_next_one_is_asked() {
+    let (one, two) = (Executor::start(), Executor::start());
+    let all = [&one, &two];
+    let standins = Standins::start(3, None);
+    standins.register(&all);
+    let node = follow(&own_file(None, &standins.agents, "consistency = \"stale\""));
+    wait_until_used(&node, "both are used", &all, &[true, true]);
+    standins.script(1, Wrong::StaleView);
+    standins.set("s0", Status::Maintenance);
+    wait_until_used(&node, "the first agent says so", &all, &[false, true]);
+    // The first one fails, the second shows the cluster as it was.
+    standins.script(0, Wrong::Status500);
+    node.logged("is behind one at");
+    assert_eq!(used(&node, 30, &all), [0, 30], "an older view brings nothing back");
+    until("the third is asked", || {
+        standins.with(|_, agents| agents[2].asked().iter().any(|a| a.ends_with("&stale")))
+    });
+    standins.set("s0", Status::Passing);
+    wait_until_used(&node, "what it says counts", &all, &[true, true]);
+    // A cluster that was restored counts its indices anew.
+    (0..3).for_each(|agent| standins.script(agent, Wrong::Nothing));
+    standins.with(|cluster, _| cluster.reset_index());
+    standins.set("s1", Status::Critical);
+    wait_until_used(&node, "the new count is taken", &all, &[true, false]);
+}
+
+#[test]
+fn sighup_changes_agents_services_and_token_while_a_question_is_out() {
+    let (one, two) = (Executor::start(), Executor::start());
+    let (first, second) = (Standins::start(1, None), Standins::start(1, Some("secret")));
+    first.register(&[&one]);
+    let addr = two.addr;
+    second.with(move |cluster, _| cluster.register("box", Instance::new("other", addr)));
+    let own = own_file(None, &first.agents, "");
+    let node = follow(&own);
+    wait_until_used(&node, "the first one's list", &[&one, &two], &[true, false]);
+    for bad in ["agents = []", "[lists", "[lists]\nsources = [\"dns\"]"] {
+        std::fs::write(&own, bad).unwrap();
+        node.signal("HUP");
+        node.logged("new file of the operator not taken");
+    }
+    let token = format!("{own}.token");
+    std::fs::write(&token, "wrong").unwrap();
+    own_file(Some(&own), &second.agents, &format!("token_file = \"{token}\""));
+    node.signal("HUP");
+    assert!(node.logged("gives no list of box").contains("status 403"));
+    assert_eq!(used(&node, 5, &[&one, &two]), [5, 0], "the list is kept meanwhile");
+    std::fs::write(&token, "secret\n").unwrap();
+    node.signal("HUP");
+    wait_until_used(&node, "the second one's list", &[&one, &two], &[false, true]);
+}
+
+#[test]
+fn a_node_that_starts_with_consul_silent_serves_by_its_last_list() {
+    let (one, two) = (Executor::start(), Executor::start());
+    let standins = Standins::start(1, None);
+    standins.script(0, Wrong::Silent);
+    standins.register(&[&two]);
+    let mut saved = entry("s0@host-s0.dc1", &one, "Ready");
+    saved["started_ms"] = json!(0);
+    let known = json!({"version": 3, "full": true, "servers": [saved, entry("gone", &two, "Ready")]});
+    let own = own_file(None, &standins.agents, "[lists.consul.panic]\nshare = 0.5\nspan = \"200ms\"");
+    let node = Node::start_by(nowhere(), (256, 64), settings(), "info", known, &own);
+    wait_until_used(&node, "the list held before", &[&one, &two], &[true, true]);
+    // Then Consul answers: one is the same, elsewhere now, and the other is no more.
+    standins.script(0, Wrong::Nothing);
+    wait_until_used(&node, "the new list", &[&one, &two], &[false, true]);
+}
+
+#[test]
+fn beside_the_platforms_list_the_strictest_word_counts() {
+    let (one, two) = (Executor::start(), Executor::start());
+    let all = [&one, &two];
+    let standins = Standins::start(1, None);
+    standins.register(&[&two]);
+    let discovery = Discovery::start(list(7, true, &[entry("s-1", &one, "Ready")]));
+    let own = own_file(None, &standins.agents, "");
+    let text = std::fs::read_to_string(&own).unwrap().replace("[\"consul\"]", "[\"platform\", \"consul\"]");
+    std::fs::write(&own, text).unwrap();
+    let node = Node::start_by(discovery.addr, (256, 64), settings(), "info", Value::Null, &own);
+    wait_until_used(&node, "both lists", &all, &[true, true]);
+    let drained = list(8, false, &[entry("s0@host-s0.dc1", &two, "Terminating")]);
+    discovery.lines.send(drained).unwrap();
+    wait_until_used(&node, "the platform's word on Consul's executor", &all, &[true, false]);
+}
+
+#[test]
+fn two_thousand_instances_of_which_a_tenth_flaps_stay_within_the_nodes_memory() {
+    let executors: Vec<Executor> = (0..4).map(|_| Executor::start()).collect();
+    let addrs: Vec<SocketAddr> = executors.iter().map(|e| e.addr).collect();
+    let standins = Standins::start(1, None);
+    standins.with(move |cluster, _| {
+        let of = |k: usize| Instance::new(&format!("s{k:04}"), addrs[k % 4]);
+        cluster.register_all("box", (0..2000).map(of).collect());
+    });
+    let own = own_file(None, &standins.agents, "");
+    let node = Node::start_by(nowhere(), (256, 48), settings(), "info", Value::Null, &own);
+    let end = Instant::now() + Duration::from_secs(3);
+    let (mut failing, mut served) = (false, 0);
+    while Instant::now() < end {
+        failing = !failing;
+        let status = if failing { Status::Critical } else { Status::Passing };
+        standins.with(move |cluster, _| {
+            let ids: Vec<String> = (0..200).map(|k| format!("s{k:04}")).collect();
+            let ids: Vec<&str> = ids.iter().map(String::as_str).collect();
+            cluster.set("box", &ids, status);
+        });
+        for _ in 0..20 {
+            assert_eq!(node.ask(work("render", &new_id(), 3.0, "")).0, 200);
+            served += 1;
+        }
+    }
+    let line = std::fs::read_to_string(format!("/proc/{}/status", node.process.id())).unwrap();
+    let most = line.lines().find_map(|line| line.strip_prefix("VmHWM:")).unwrap().trim();
+    let most: u64 = most.split(' ').next().unwrap().parse().unwrap();
+    assert!(most <= 48 * 1024 && served > 100, "{most} kB, {served} served");
+}
+
+#[test]
+fn a_file_of_the_operator_that_cannot_be_used_is_said_in_plain_lines() {
+    let good = own_file(None, &[nowhere()], "");
+    let config = json!({"name": "n0", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:9", "seed": "8c",
+        "limits": {"memory_mb": 64, "sockets": 64}, "settings": settings()});
+    let config = config_file(&config.to_string());
+    let text = std::fs::read_to_string(&good).unwrap();
+    for (from, to, part) in [
+        ("[lists]", "[list]", "line 1: unknown field `list`, expected `lists`"),
+        ("\"consul\"", "\"dns\"", "line 2: unknown variant `dns`, expected `platform` or `consul`"),
+        ("127.0.0.1:9", "here", "line 4: invalid socket address syntax"),
+        ("\"127.0.0.1:9\"", "", "must name 1 to 16 addresses"),
+        ("300ms", "1ms", "`lists.consul.wait` must be 100ms to 10m"),
+        ("\"box\"", "\"\"", "an empty name"),
+        ("[\"consul\"]", "[\"consul\", \"consul\"]", "names one source twice"),
+        (
+            "[[lists.consul.services]]",
+            "damping = { reuse = 9 }\n[[lists.consul.services]]",
+            "`reuse` <= `cutoff`",
+        ),
+    ] {
+        let path = format!("{good}.bad");
+        std::fs::write(&path, text.replace(from, to)).unwrap();
+        let out = launch_by(&config, "info", &path).wait_with_output().unwrap();
+        let said = String::from_utf8(out.stderr).unwrap();
+        assert!(!out.status.success() && said.lines().count() == 1 && said.contains(part), "{to}: {said}");
+    }
+}
--- a/crates/emulator/src/wire.rs
+++ b/crates/emulator/src/wire.rs
@@ -75,6 +75,15 @@
         self.cut_told.notify_one();
     }
 
+    /// The same by RST, after a while.
+    pub fn cut_after(self: &Rc<Self>, wait: std::time::Duration) {
+        let line = self.clone();
+        tokio::task::spawn_local(async move {
+            tokio::time::sleep(wait).await;
+            line.cut(Cut::Reset);
+        });
+    }
+
     /// When the request that is being served began to come.
     pub fn first_byte(&self) -> Option<Instant> {
         self.first_byte.get()
