--- a/crates/emulator/src/wire.rs
+++ b/crates/emulator/src/wire.rs
@@ -228,8 +228,10 @@
     let builder = hyper::server::conn::http1::Builder::new();
     let mut connection = builder.serve_connection(TokioIo::new(gated), service);
     tokio::select! {
-        _ = &mut connection => return,
+        // A cut comes before whatever ended in the same moment: guards against a broken answer that ends well.
+        biased;
         () = line.cut_told.notified() => {}
+        _ = &mut connection => return,
     }
     let mut stream = connection.into_parts().io.into_inner().stream;
     match line.cut.take() {
