--- a/crates/cli/src/emulate.rs
+++ b/crates/cli/src/emulate.rs
@@ -16,7 +16,7 @@
 /// Run the executors and the discovery of a scenario alone, for use by hand
 #[derive(Args)]
 #[command(after_help = "Example: troutknot emulate scenarios/calm.toml --for 1m
-then:    curl -d x -H 'Request-Id: a1' -H 'Work-Millis: 250' http://127.71.0.1:PORT/render")]
+then:    curl -d x -H 'Request-Id: a1' -H 'Work-Millis: 250' http://ADDRESS/render")]
 pub struct Emulate {
     scenario: PathBuf,
     #[arg(long)]
