Each rehearsal has loopback addresses of its own

Cause: two at once could be given the same free port, and one's clients then spoke to the other's node; a mutant test failed once in ten whole runs. Change: the addresses follow from the process and a count.

--- a/crates/cli/src/emulate.rs
+++ b/crates/cli/src/emulate.rs
@@ -1,7 +1,6 @@
 //! `troutknot emulate`: the fleet of a scenario alone, with discovery, for use by hand.
 use crate::{Ended, check};
 use clap::Args;
-use std::net::{Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -12,6 +11,7 @@
 use troutknot_emulator::observed::{Listed, Record};
 use troutknot_rehearsal::plan::Plan;
 use troutknot_rehearsal::scenario::{Scenario, millis};
+use troutknot_rehearsal::world::Addresses;
 
 /// Run the executors and the discovery of a scenario alone, for use by hand
 #[derive(Args)]
@@ -54,12 +54,10 @@
         };
         let record = Arc::new(Record::default());
         let shared = Shared::new(record.clone(), Arc::new(work_of), true);
-        let address = |of: u8, k: usize| {
-            SocketAddr::from((Ipv4Addr::new(127, 70 + of, (k / 250) as u8, (k % 250 + 1) as u8), 0))
-        };
+        let addresses = Addresses::fresh();
         let (mut hosts, mut members): (Vec<Rc<Host>>, Vec<Member>) = (Vec::new(), Vec::new());
         for (k, planned) in plan.executors.iter().enumerate().filter(|(_, e)| e.at_start) {
-            let at = address(1, k);
+            let at = addresses.executor(k);
             let machine = planned.machine.clone();
             let host = Host::start(&shared, k as u32, machine, planned.seed, at, !planned.cold);
             let host = host.map_err(|e| format!("no address for an executor on {at}: {e}"))?;
@@ -77,7 +75,7 @@
             println!("{} http://{}", host.name, host.addr);
             hosts.push(host);
         }
-        let at = address(2, 0);
+        let at = addresses.agent(0);
         let agent = Agent::start(&record, 0, at, members);
         let agent = agent.map_err(|e| format!("no address for discovery on {at}: {e}"))?;
         println!("discovery http://{}/catalog/members", agent.addr());
--- a/crates/rehearsal/src/world.rs
+++ b/crates/rehearsal/src/world.rs
@@ -13,6 +13,7 @@
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep, sleep_until};
@@ -27,8 +28,37 @@
 
 /// Loopback addresses of their own for nodes, executors and agents, so that no outgoing connection takes a port
 /// while its owner is down.
-fn address(of: u8, number: usize) -> SocketAddr {
-    SocketAddr::from((Ipv4Addr::new(127, 70 + of, (number / 250) as u8, (number % 250 + 1) as u8), 0))
+#[derive(Clone, Copy)]
+pub struct Addresses {
+    salt: usize,
+}
+
+impl Addresses {
+    /// Others for each rehearsal, in this process and most likely in another: two at once must not take each
+    /// other's ports.
+    pub fn fresh() -> Self {
+        static COUNT: AtomicUsize = AtomicUsize::new(0);
+        let count = COUNT.fetch_add(1, Ordering::Relaxed);
+        Addresses { salt: (std::process::id() as usize).wrapping_mul(7).wrapping_add(count) % 60 }
+    }
+
+    fn at(self, of: u8, number: usize) -> SocketAddr {
+        let third = (4 * self.salt + number / 250 % 4) as u8;
+        SocketAddr::from((Ipv4Addr::new(127, 70 + of, third, (number % 250 + 1) as u8), 0))
+    }
+
+    pub fn node(self, number: usize) -> SocketAddr {
+        self.at(0, number)
+    }
+
+    pub fn executor(self, number: usize) -> SocketAddr {
+        self.at(1 + (number / 1000) as u8, number)
+    }
+
+    /// The agent of discovery on a node's machine.
+    pub fn agent(self, number: usize) -> SocketAddr {
+        self.at(10, number)
+    }
 }
 
 struct Node {
@@ -53,6 +83,7 @@
     listed: RefCell<Vec<Option<Member>>>,
     nodes: RefCell<Vec<Node>>,
     chance: RefCell<ChaCha8Rng>,
+    addresses: Addresses,
     unix: f64,
     /// The latest that a step was taken, in milliseconds.
     late: Cell<f64>,
@@ -73,13 +104,15 @@
         let (of, about) = (plan.clone(), scenario.clone());
         let work_of = Arc::new(move |id: &str| of.work(&about, id));
         let shared = Shared::new(record.clone(), work_of, true);
+        let addresses = Addresses::fresh();
         let mut hosts = Vec::new();
         for number in 0..plan.executors.len() {
             let at_start = plan.executors[number].at_start;
-            hosts.push(at_start.then(|| host(&shared, &plan, number)).transpose()?);
+            hosts.push(at_start.then(|| host(&shared, &plan, addresses, number)).transpose()?);
         }
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_secs_f64() * 1000.0;
         let world = World {
+            addresses,
             unix: unix - record.now(),
             hosts: RefCell::new(hosts),
             listed: RefCell::new(vec![None; plan.executors.len()]),
@@ -101,11 +134,11 @@
         let members: Vec<Member> = world.listed.borrow().iter().flatten().cloned().collect();
         for number in 0..world.scenario.nodes.count {
             let agent =
-                Agent::start(&world.record, number as NodeNumber, address(2, number), members.clone())
-                    .with_context(|| format!("no address for discovery on {}", address(2, number)))?;
+                Agent::start(&world.record, number as NodeNumber, addresses.agent(number), members.clone())
+                    .with_context(|| format!("no address for discovery on {}", addresses.agent(number)))?;
             // A port that is free now, on an address of the node's own.
-            let free = TcpListener::bind(address(0, number)).and_then(|l| l.local_addr());
-            let addr = free.with_context(|| format!("no port on {}", address(0, number)))?;
+            let free = TcpListener::bind(addresses.node(number)).and_then(|l| l.local_addr());
+            let addr = free.with_context(|| format!("no port on {}", addresses.node(number)))?;
             let file = |kind: &str| folder.join(format!("n{number}.{kind}"));
             let node = Node {
                 addr,
@@ -190,7 +223,7 @@
                 }
             }
             Step::Join { executor } => {
-                match self::host(&self.shared, &self.plan, *executor) {
+                match self::host(&self.shared, &self.plan, self.addresses, *executor) {
                     Ok(host) => self.hosts.borrow_mut()[*executor] = Some(host),
                     Err(_) => return,
                 }
@@ -250,7 +283,7 @@
             }
             Step::RereadNodes => {
                 for number in 0..self.scenario.nodes.count {
-                    let moved = self.nodes.borrow()[number].agent.move_to(address(2, number));
+                    let moved = self.nodes.borrow()[number].agent.move_to(self.addresses.agent(number));
                     if moved.is_err() || self.write_config(number).is_err() {
                         continue;
                     }
@@ -363,9 +396,9 @@
     }
 }
 
-fn host(shared: &Rc<Shared>, plan: &Plan, number: usize) -> Result<Rc<Host>> {
+fn host(shared: &Rc<Shared>, plan: &Plan, addresses: Addresses, number: usize) -> Result<Rc<Host>> {
     let planned = &plan.executors[number];
-    let at = address(1, number);
+    let at = addresses.executor(number);
     let machine = planned.machine.clone();
     Host::start(shared, number as ExecutorNumber, machine, planned.seed, at, !planned.cold)
         .with_context(|| format!("no address for an executor on {at}"))
