Rehearsals with Consul as discovery: flaps, agents that go wrong, and the referee on all of it

Need: that nothing new goes to executors which Consul lists as failing or gone is to be seen on sockets by the referee.

--- a/crates/cli/tests/rehearse.rs
+++ b/crates/cli/tests/rehearse.rs
@@ -52,7 +52,11 @@
 
 /// Plays a day with more lines; the report, the exit status and what was said.
 fn played(name: &str, more: &str) -> (Value, i32, String) {
-    let path = file(name, &format!("{DAY}{more}"));
+    // What begins with a key goes into the section of discovery.
+    let (own, more) =
+        more.split_at(if more.starts_with("source") { more.find('\n').unwrap_or(0) } else { 0 });
+    let day = DAY.replace("[discovery]", &format!("[discovery]\n{own}"));
+    let path = file(name, &format!("{day}{more}"));
     let out = troutknot(&["rehearse", path.to_str().unwrap(), "--json"]);
     let said = String::from_utf8_lossy(&out.stderr).to_string();
     let report = serde_json::from_slice(&out.stdout).unwrap_or_else(|e| panic!("{e}: {said}"));
@@ -95,6 +99,14 @@
              [[troubles]]\nkind = 'swallow'\nfrom = '1s'\nto = '3s'\nshare = 0.2\nproject_type = 'render'\n",
             |r| r["verdict"]["all"]["aborted"].as_u64() > Some(0),
         ),
+        (
+            "a list from consul that flaps, goes silent and errs",
+            "source = 'consul'\n[[events]]\nwhat = 'flap-executors'\nat = '300ms'\ngroup = 'box'\ncount = 2\n\
+             every = '500ms'\nlasts = '3s'\n\
+             [[events]]\nwhat = 'trouble-discovery'\nhow = 'errors'\nat = '1s'\nlasts = '1s'\n\
+             [[events]]\nwhat = 'deploy'\nat = '500ms'\ngroup = 'box'\nevery = '400ms'\ncount = 2\n",
+            |r| r["verdict"]["cold_budget_used"].as_f64() > Some(0.0),
+        ),
     ];
     std::thread::scope(|all| {
         for (k, (what, more, struck)) in cases.iter().enumerate() {
--- a/crates/daemon/src/lists/consul.rs
+++ b/crates/daemon/src/lists/consul.rs
@@ -277,6 +277,7 @@
                 }
             }
         }
+        tracing::debug!("consul: {} changes told", changes.len());
         let answered = self.watches.borrow().iter().any(|w| w.answered_at.get().is_some());
         if answered || !changes.is_empty() {
             // That nothing has changed is word from the list as well.
--- /dev/null
+++ b/crates/rehearsal/src/lists.rs
@@ -0,0 +1,214 @@
+//! What tells the nodes of a rehearsal their list: the platform's discovery, or Consul's stand-in.
+use crate::scenario::{How, Scenario, Source};
+use anyhow::{Context, Result};
+use serde_json::Value;
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::fmt::Write;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use troutknot_emulator::discovery::{Agent, Member};
+use troutknot_emulator::observed::{ExecutorNumber, Listed, NodeNumber, Record, Seen};
+use troutknot_standins::consul::{self, Cluster, Instance, Status, Wrong};
+
+pub const SERVICE: &str = "box";
+
+/// The list of one node.
+pub enum NodeList {
+    Platform(Rc<Agent>),
+    Consul(Rc<ConsulList>),
+}
+
+/// One node's agent of Consul, and what it has told.
+pub struct ConsulList {
+    agent: Rc<consul::Agent>,
+    node: NodeNumber,
+    record: Arc<Record>,
+    /// What could not be told since it went wrong.
+    missed: RefCell<Vec<(ExecutorNumber, Listed)>>,
+    wrong: RefCell<Option<How>>,
+}
+
+fn number_of(id: &str) -> Option<ExecutorNumber> {
+    id.strip_prefix("s-")?.parse().ok()
+}
+
+fn listed(status: Status) -> Listed {
+    if matches!(status, Status::Passing | Status::Warning) { Listed::Ready } else { Listed::Terminating }
+}
+
+impl ConsulList {
+    /// # Errors
+    /// Where the address cannot be listened at.
+    pub fn start(
+        cluster: &Rc<Cluster>,
+        node: NodeNumber,
+        at: SocketAddr,
+        record: &Arc<Record>,
+    ) -> Result<Rc<Self>> {
+        let agent = consul::Agent::start(cluster, at, None)
+            .with_context(|| format!("no address for Consul on {at}"))?;
+        let told: RefCell<HashMap<ExecutorNumber, Listed>> = RefCell::default();
+        let own = record.clone();
+        agent.on_answer(Box::new(move |instances| {
+            let now: HashMap<ExecutorNumber, Listed> =
+                instances.iter().filter_map(|(id, status)| Some((number_of(id)?, listed(*status)))).collect();
+            let mut told = told.borrow_mut();
+            let note = |executor, listed| own.note(Seen::Told { node, executor, listed });
+            for (&executor, &state) in &now {
+                if told.get(&executor) != Some(&state) {
+                    note(executor, state);
+                }
+            }
+            told.keys().filter(|executor| !now.contains_key(executor)).for_each(|&e| note(e, Listed::Gone));
+            *told = now;
+        }));
+        let (missed, wrong) = Default::default();
+        Ok(Rc::new(ConsulList { agent, node, record: record.clone(), missed, wrong }))
+    }
+
+    fn knows(&self, executor: ExecutorNumber, listed: Listed) {
+        if self.wrong.borrow().is_some() {
+            self.missed.borrow_mut().push((executor, listed));
+        } else {
+            self.record.note(Seen::AgentKnows { node: self.node, executor, listed });
+        }
+    }
+
+    fn script(&self, how: Option<How>) {
+        *self.wrong.borrow_mut() = how;
+        self.agent.script(match how {
+            None => Wrong::Nothing,
+            Some(How::Silent) => Wrong::Silent,
+            Some(How::Errors) => Wrong::Status500,
+            Some(How::NoLeader) => Wrong::NoLeader,
+            Some(How::Empty) => Wrong::Empty,
+            Some(How::HalfBody) => Wrong::HalfBody,
+            Some(How::StaleView) => Wrong::StaleView,
+            Some(How::Late) => Wrong::Late(Duration::from_millis(500)),
+        });
+        if how.is_none() {
+            for (executor, listed) in self.missed.take() {
+                self.knows(executor, listed);
+            }
+        }
+    }
+}
+
+impl NodeList {
+    /// Where the node's configuration says that the list is; with Consul nothing is there.
+    pub fn addr(&self) -> SocketAddr {
+        match self {
+            NodeList::Platform(agent) => agent.addr(),
+            NodeList::Consul(_) => ([127, 0, 0, 1], 9).into(),
+        }
+    }
+
+    /// The list as the node last had it, as far as its agent knows.
+    pub fn known(&self, listed: &[Option<Member>]) -> Value {
+        match self {
+            NodeList::Platform(agent) => agent.known(),
+            NodeList::Consul(_) => {
+                let members = listed.iter().flatten().filter(|m| m.listed != Listed::Gone);
+                let of = |m: &Member| {
+                    let state = if m.listed == Listed::Ready { "Ready" } else { "Terminating" };
+                    serde_json::json!({"id": m.id, "addr": m.addr.to_string(), "zone": m.zone, "kind": m.kind,
+                        "cell": m.cell, "state": state, "weight": m.weight, "started_ms": m.started_ms})
+                };
+                serde_json::json!({"version": 1, "full": true, "servers": members.map(of).collect::<Vec<_>>()})
+            }
+        }
+    }
+
+    /// The operator's own file, where the node needs one.
+    pub fn own_file(&self, scenario: &Scenario) -> Option<String> {
+        let NodeList::Consul(list) = self else { return None };
+        let mut text = String::from("[lists]\nsources = [\"consul\"]\n[lists.consul]\n");
+        let _ =
+            writeln!(text, "agents = [\"{}\"]\nwait = \"5s\"\nlongest_retry = \"500ms\"", list.agent.addr);
+        let _ = writeln!(text, "[lists.consul.damping]\non = {}", scenario.discovery.damping);
+        let _ = writeln!(text, "[[lists.consul.services]]\nname = \"{SERVICE}\"");
+        Some(text)
+    }
+
+    pub fn silent(&self, on: bool) {
+        match self {
+            NodeList::Platform(agent) => agent.silent(on),
+            NodeList::Consul(list) => list.script(on.then_some(How::Silent)),
+        }
+    }
+
+    pub fn trouble(&self, how: Option<How>) {
+        if let NodeList::Consul(list) = self {
+            list.script(how);
+        }
+    }
+
+    pub fn restart(&self) {
+        match self {
+            NodeList::Platform(agent) => agent.restart(),
+            NodeList::Consul(list) => list.agent.reset(),
+        }
+    }
+
+    /// # Errors
+    /// Where it cannot move there.
+    pub fn move_to(&self, at: SocketAddr) -> std::io::Result<()> {
+        match self {
+            NodeList::Platform(agent) => agent.move_to(at).map(|_| ()),
+            NodeList::Consul(_) => Ok(()),
+        }
+    }
+
+    /// A change of the list, heard by the platform's agent after a while. Consul's cluster has it already.
+    pub fn change(&self, member: &Member, after: Duration) {
+        match self {
+            NodeList::Platform(agent) => agent.change(member.clone(), after),
+            NodeList::Consul(list) => list.knows(member.executor, member.listed),
+        }
+    }
+}
+
+/// The cluster that all nodes' agents serve, where the scenario has one.
+pub fn cluster(scenario: &Scenario, members: &[Member]) -> Option<Rc<Cluster>> {
+    let consul = scenario.discovery.source == Source::Consul;
+    let cluster = consul.then(|| Cluster::new("here"))?;
+    cluster.register_all(SERVICE, members.iter().map(|m| instance(m, false)).collect());
+    Some(cluster)
+}
+
+/// Lists a member in Consul as it stands; `failing` says whether its checks do, or an operator.
+pub fn register(cluster: &Cluster, member: &Member, failing: bool) {
+    match member.listed {
+        Listed::Gone => cluster.deregister(SERVICE, &member.id),
+        _ => cluster.register(SERVICE, instance(member, failing)),
+    }
+}
+
+fn instance(member: &Member, failing: bool) -> Instance {
+    let mut instance = Instance::new(&member.id, member.addr);
+    instance.status = match (member.listed, failing) {
+        (Listed::Ready, _) => Status::Passing,
+        (_, true) => Status::Critical,
+        (_, false) => Status::Maintenance,
+    };
+    let meta = [
+        ("executor", member.id.clone()),
+        ("kind", member.kind.clone()),
+        ("cell", member.cell.to_string()),
+        ("started", format!("{:.0}", member.started_ms)),
+    ];
+    instance.meta = meta.into_iter().map(|(name, value)| (name.to_string(), value)).collect();
+    instance
+}
+
+/// Writes the operator's file of a node.
+///
+/// # Errors
+/// Where it cannot be written.
+pub fn write_own(path: &Path, text: &str) -> Result<()> {
+    std::fs::write(path, text).with_context(|| format!("cannot write {}", path.display()))
+}
--- a/crates/rehearsal/src/nodes.rs
+++ b/crates/rehearsal/src/nodes.rs
@@ -35,11 +35,12 @@
 
 /// Starts nodes: the real ones, or in tests ones that are wrong on purpose.
 pub trait Launch: Send + Sync {
-    /// Starts a node with its configuration; what it logs goes into the file.
+    /// Starts a node with its configuration and, perhaps, the operator's own file; what it logs goes into a
+    /// file.
     ///
     /// # Errors
     /// Where it cannot be started.
-    fn start(&self, config: &Path, log: File) -> io::Result<Box<dyn Running>>;
+    fn start(&self, config: &Path, own: Option<&Path>, log: File) -> io::Result<Box<dyn Running>>;
 }
 
 /// A program that runs a node when it is given these arguments, with `ROUTER_CONFIG` set.
@@ -55,11 +56,12 @@
 }
 
 impl Launch for Program {
-    fn start(&self, config: &Path, log: File) -> io::Result<Box<dyn Running>> {
+    fn start(&self, config: &Path, own: Option<&Path>, log: File) -> io::Result<Box<dyn Running>> {
         let errors = log.try_clone()?;
         let child = Command::new(&self.path)
             .args(&self.args)
             .env("ROUTER_CONFIG", config)
+            .env("TROUTKNOT_FILE", own.unwrap_or(Path::new("")))
             .stdin(Stdio::null())
             .stdout(log)
             .stderr(errors)
--- a/crates/rehearsal/src/plan.rs
+++ b/crates/rehearsal/src/plan.rs
@@ -84,6 +84,16 @@
         on: bool,
     },
     RestartDiscovery,
+    /// It is listed as failing, or as well again; nothing happens to itself.
+    ListFailing {
+        executor: usize,
+    },
+    ListWell {
+        executor: usize,
+    },
+    TroubleDiscovery {
+        how: Option<How>,
+    },
 }
 
 #[derive(Clone, Debug)]
@@ -261,6 +271,24 @@
                     let end = at + event.lasts.map_or(0.0, millis);
                     steps.push((end, Step::SilenceDiscovery { on: false }));
                 }
+                EventKind::FlapExecutors => {
+                    let of = in_group(&executors, &event.group);
+                    let (every, lasts) = (event.every.map_or(1.0, millis), event.lasts.map_or(0.0, millis));
+                    for executor in chosen(&mut rng, of, event.count.unwrap_or(1)) {
+                        // Each at a beat of its own, so that they do not flap in step.
+                        let mut now = at + rng.random::<f64>() * every;
+                        while now + every <= at + lasts {
+                            steps.push((now, Step::ListFailing { executor }));
+                            steps.push((now + every / 2.0, Step::ListWell { executor }));
+                            now += every;
+                        }
+                    }
+                }
+                EventKind::TroubleDiscovery => {
+                    let end = at + event.lasts.map_or(0.0, millis);
+                    steps.push((at, Step::TroubleDiscovery { how: event.how }));
+                    steps.push((end, Step::TroubleDiscovery { how: None }));
+                }
                 EventKind::KillExecutor => {
                     let of = in_group(&executors, &event.group);
                     for executor in chosen(&mut rng, of, event.count.unwrap_or(1)) {
--- a/crates/rehearsal/src/scenario.rs
+++ b/crates/rehearsal/src/scenario.rs
@@ -305,9 +305,34 @@
     }
 }
 
+/// Where nodes get their list from.
+#[derive(Deserialize, Clone, Copy, Debug, PartialEq)]
+#[serde(rename_all = "kebab-case")]
+pub enum Source {
+    Platform,
+    /// Consul's stand-in: one agent for each node, changes at all of them at once.
+    Consul,
+}
+
+/// What goes wrong at Consul's agents.
+#[derive(Deserialize, Clone, Copy, Debug, PartialEq)]
+#[serde(rename_all = "kebab-case")]
+pub enum How {
+    Silent,
+    Errors,
+    NoLeader,
+    Empty,
+    HalfBody,
+    StaleView,
+    Late,
+}
+
 #[derive(Deserialize, Clone, Debug)]
 #[serde(deny_unknown_fields, default)]
 pub struct Discovery {
+    pub source: Source,
+    /// Consul: whether flaps are damped.
+    pub damping: bool,
     /// The least and the most that a change takes to a node's agent.
     #[serde(with = "humantime_serde")]
     pub notice_least: Duration,
@@ -321,6 +346,8 @@
 impl Default for Discovery {
     fn default() -> Self {
         Discovery {
+            source: Source::Platform,
+            damping: true,
             notice_least: Duration::from_millis(50),
             notice_most: Duration::from_millis(500),
             death_noticed: Duration::from_secs(3),
@@ -399,6 +426,10 @@
     KillExecutor,
     SilenceDiscovery,
     RestartDiscovery,
+    /// Executors of a group are listed as failing and as well again, `every` so long, though nothing ails them.
+    FlapExecutors,
+    /// Consul's agents go wrong, `how`, for a while.
+    TroubleDiscovery,
 }
 
 #[derive(Deserialize, Clone, Debug)]
@@ -417,6 +448,7 @@
     pub every: Option<Duration>,
     #[serde(default, with = "humantime_serde")]
     pub lasts: Option<Duration>,
+    pub how: Option<How>,
 }
 
 /// What the day must reach.
@@ -520,6 +552,8 @@
             EventKind::Deploy => &["group*", "every*", "count"],
             EventKind::KillExecutor => &["group*", "back", "count"],
             EventKind::SilenceDiscovery => &["lasts*"],
+            EventKind::FlapExecutors => &["group*", "every*", "lasts*", "count"],
+            EventKind::TroubleDiscovery => &["how*", "lasts*"],
         }
     }
 }
@@ -685,8 +719,21 @@
                 ("back", e.back.is_some()),
                 ("every", e.every.is_some()),
                 ("lasts", e.lasts.is_some()),
+                ("how", e.how.is_some()),
             ];
             self.keys(c, &at, &format!("an event {:?}", e.what), &given, e.what.keys());
+            let consul = self.discovery.source == Source::Consul;
+            if !consul && e.what == EventKind::TroubleDiscovery || consul && e.what == EventKind::RereadNodes
+            {
+                let what =
+                    format!("an event {:?} is not for discovery by {:?}", e.what, self.discovery.source);
+                c.fault(&at, "what", what);
+            }
+            if e.what == EventKind::FlapExecutors
+                && e.every.is_some_and(|every| every < Duration::from_millis(10))
+            {
+                c.fault(&at, "every", "`every` of 10ms at least is allowed".into());
+            }
             if e.at > self.length {
                 c.fault(&at, "at", "`at` must be within the day".into());
             }
--- a/crates/rehearsal/src/world.rs
+++ b/crates/rehearsal/src/world.rs
@@ -1,6 +1,7 @@
 //! The world of a rehearsal on sockets: executors, discovery and the nodes' processes, changed step by step as
 //! the plan says. All of it lives on one thread.
 use crate::briefing::{self, PLACE};
+use crate::lists::{self, ConsulList, NodeList};
 use crate::nodes::{Ask, Launch, Running, Used};
 use crate::plan::{Plan, Step, opens_after};
 use crate::scenario::Scenario;
@@ -21,6 +22,7 @@
 use troutknot_emulator::executors::{Host, Shared};
 use troutknot_emulator::front::health;
 use troutknot_emulator::observed::{ExecutorNumber, Listed, NodeNumber, Record, Seen};
+use troutknot_standins::consul::Cluster;
 
 /// How long nodes may take to be ready at the start.
 const READY_WAIT: Duration = Duration::from_secs(15);
@@ -65,7 +67,9 @@
     addr: SocketAddr,
     config: PathBuf,
     log: PathBuf,
-    agent: Rc<Agent>,
+    list: NodeList,
+    /// The operator's own file, where the scenario needs one.
+    own: PathBuf,
     running: Option<Box<dyn Running>>,
     /// Of the lives before.
     used: Used,
@@ -84,6 +88,7 @@
     nodes: RefCell<Vec<Node>>,
     chance: RefCell<ChaCha8Rng>,
     addresses: Addresses,
+    cluster: RefCell<Option<Rc<Cluster>>>,
     unix: f64,
     /// The latest that a step was taken, in milliseconds.
     late: Cell<f64>,
@@ -113,6 +118,7 @@
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_secs_f64() * 1000.0;
         let world = World {
             addresses,
+            cluster: RefCell::default(),
             unix: unix - record.now(),
             hosts: RefCell::new(hosts),
             listed: RefCell::new(vec![None; plan.executors.len()]),
@@ -132,10 +138,19 @@
             }
         }
         let members: Vec<Member> = world.listed.borrow().iter().flatten().cloned().collect();
+        *world.cluster.borrow_mut() = lists::cluster(&world.scenario, &members);
         for number in 0..world.scenario.nodes.count {
-            let agent =
-                Agent::start(&world.record, number as NodeNumber, addresses.agent(number), members.clone())
-                    .with_context(|| format!("no address for discovery on {}", addresses.agent(number)))?;
+            let at = addresses.agent(number);
+            let node_number = number as NodeNumber;
+            let list = match &*world.cluster.borrow() {
+                Some(cluster) => {
+                    NodeList::Consul(ConsulList::start(cluster, node_number, at, &world.record)?)
+                }
+                None => NodeList::Platform(
+                    Agent::start(&world.record, node_number, at, members.clone())
+                        .with_context(|| format!("no address for discovery on {at}"))?,
+                ),
+            };
             // A port that is free now, on an address of the node's own.
             let free = TcpListener::bind(addresses.node(number)).and_then(|l| l.local_addr());
             let addr = free.with_context(|| format!("no port on {}", addresses.node(number)))?;
@@ -144,7 +159,8 @@
                 addr,
                 config: file("json"),
                 log: file("log"),
-                agent,
+                list,
+                own: file("toml"),
                 running: None,
                 used: Used::default(),
                 lives: 0,
@@ -283,7 +299,7 @@
             }
             Step::RereadNodes => {
                 for number in 0..self.scenario.nodes.count {
-                    let moved = self.nodes.borrow()[number].agent.move_to(self.addresses.agent(number));
+                    let moved = self.nodes.borrow()[number].list.move_to(self.addresses.agent(number));
                     if moved.is_err() || self.write_config(number).is_err() {
                         continue;
                     }
@@ -294,9 +310,14 @@
                 }
             }
             Step::SilenceDiscovery { on } => {
-                self.nodes.borrow().iter().for_each(|node| node.agent.silent(*on));
+                self.nodes.borrow().iter().for_each(|node| node.list.silent(*on));
+            }
+            Step::RestartDiscovery => self.nodes.borrow().iter().for_each(|node| node.list.restart()),
+            Step::ListFailing { executor } => self.list_as(*executor, Listed::Terminating, true),
+            Step::ListWell { executor } => self.list(*executor, Listed::Ready),
+            Step::TroubleDiscovery { how } => {
+                self.nodes.borrow().iter().for_each(|node| node.list.trouble(*how));
             }
-            Step::RestartDiscovery => self.nodes.borrow().iter().for_each(|node| node.agent.restart()),
         }
     }
 
@@ -329,23 +350,30 @@
 
     /// Discovery lists it otherwise from now on; each agent hears of it after a delay of its own.
     fn list(&self, number: usize, listed: Listed) {
+        self.list_as(number, listed, false);
+    }
+
+    fn list_as(&self, number: usize, listed: Listed, failing: bool) {
         let member = self.member(number, listed);
+        if let Some(cluster) = &*self.cluster.borrow() {
+            lists::register(cluster, &member, failing);
+        }
         self.listed.borrow_mut()[number] = Some(member.clone());
         let discovery = &self.scenario.discovery;
         for node in self.nodes.borrow().iter() {
             let way: f64 = self.chance.borrow_mut().random();
             let span = discovery.notice_most - discovery.notice_least;
-            node.agent.change(member.clone(), discovery.notice_least + span.mul_f64(way));
+            node.list.change(&member, discovery.notice_least + span.mul_f64(way));
         }
     }
 
     fn write_config(&self, number: usize) -> Result<Value> {
         let nodes = self.nodes.borrow();
         let node = &nodes[number];
-        let known = node.agent.known();
+        let known = node.list.known(&self.listed.borrow());
         let seed = self.plan.seed ^ (number as u64) << 32 ^ node.lives << 48;
         let config =
-            briefing::config(&self.scenario, number, node.addr, node.agent.addr(), seed, known.clone());
+            briefing::config(&self.scenario, number, node.addr, node.list.addr(), seed, known.clone());
         std::fs::write(&node.config, config.to_string())
             .with_context(|| format!("cannot write {}", node.config.display()))?;
         Ok(known)
@@ -367,7 +395,12 @@
                 self.record.note(told);
             }
         }
-        node.running = Some(self.launch.start(&node.config, log).context("cannot start a node")?);
+        let own = node.list.own_file(&self.scenario);
+        if let Some(text) = &own {
+            lists::write_own(&node.own, text)?;
+        }
+        let own = own.is_some().then_some(node.own.as_path());
+        node.running = Some(self.launch.start(&node.config, own, log).context("cannot start a node")?);
         node.lives += 1;
         Ok(())
     }
--- a/crates/rehearsal/tests/mutants.rs
+++ b/crates/rehearsal/tests/mutants.rs
@@ -214,7 +214,7 @@
 }
 
 impl Launch for Wrong {
-    fn start(&self, config: &Path, _log: File) -> io::Result<Box<dyn Running>> {
+    fn start(&self, config: &Path, _own: Option<&Path>, _log: File) -> io::Result<Box<dyn Running>> {
         let config: Value = serde_json::from_str(&std::fs::read_to_string(config)?)?;
         let (stop, stopped) = oneshot::channel::<()>();
         let wrong = *self;
--- a/crates/rehearsal/tests/scenario.rs
+++ b/crates/rehearsal/tests/scenario.rs
@@ -120,3 +120,21 @@
         assert_eq!(of_id(7, &odd), None, "{odd}");
     }
 }
+
+#[test]
+fn discovery_by_consul_takes_its_own_troubles_only() {
+    let trouble = "[[events]]\nwhat = \"trouble-discovery\"\nhow = \"silent\"\nlasts = \"1s\"\nat = \"1s\"\n";
+    let consul = GOOD.replace("[traffic]", "[discovery]\nsource = \"consul\"\n[traffic]");
+    assert!(Scenario::parse(&format!("{consul}{trouble}"), "f").is_ok());
+    for (text, part) in [
+        (format!("{GOOD}{trouble}"), "not for discovery by Platform"),
+        (
+            format!("{consul}[[events]]\nwhat = \"reread-nodes\"\nat = \"1s\"\n"),
+            "not for discovery by Consul",
+        ),
+        (format!("{consul}{}", trouble.replace("silent", "loud")), "unknown variant `loud`, expected one of"),
+    ] {
+        let faults = Scenario::parse(&text, "f").unwrap_err().to_string();
+        assert!(faults.contains(part), "{faults}");
+    }
+}
--- a/crates/standins/src/consul.rs
+++ b/crates/standins/src/consul.rs
@@ -184,7 +184,7 @@
     Garbage,
 }
 
-/// Told of each answer: which instances it lists as passing, and the rest.
+/// Told of each answer that shows the catalogue as it is: which instances it lists, and how they do.
 pub type OnAnswer = Box<dyn Fn(&[(String, Status)])>;
 
 /// One agent.
@@ -345,7 +345,9 @@
             });
             return with_heads(Response::new(lines), index);
         }
-        if let Some(told) = &*self.on_answer.borrow() {
+        if let Some(told) = &*self.on_answer.borrow()
+            && !matches!(wrong, Wrong::Empty | Wrong::StaleView)
+        {
             told(&listed);
         }
         with_heads(Response::new(Lines::whole(body)), index)
