--- a/crates/cli/src/check.rs
+++ b/crates/cli/src/check.rs
@@ -4,9 +4,9 @@
 use std::path::{Path, PathBuf};
 use troutknot_rehearsal::scenario::Scenario;
 
-/// Say whether a scenario (.toml) or a node's configuration (.json) can be used; all faults at once
+/// Say whether a scenario, an operator's own file (both .toml) or a node's configuration (.json) can be used
 #[derive(Args)]
-#[command(after_help = "Example: troutknot check scenarios/calm.toml node.json")]
+#[command(after_help = "Example: troutknot check scenarios/calm.toml deploy/troutknot.toml node.json")]
 pub struct Check {
     #[arg(required = true)]
     files: Vec<PathBuf>,
@@ -22,12 +22,23 @@
     Scenario::parse(&text, &file).map_err(|faults| faults.to_string())
 }
 
+/// Whether a file is an operator's own: what it says is about lists, and not about a day.
+fn is_own(path: &Path) -> bool {
+    let text = std::fs::read_to_string(path).unwrap_or_default();
+    let says = |word: &str| text.lines().any(|line| line.trim_start().starts_with(word));
+    says("[lists") && !says("length")
+}
+
 impl Check {
     pub fn run(self) -> Ended {
         let mut ended = Ended::Held;
         for path in &self.files {
             let is_json = path.extension().is_some_and(|e| e == "json");
-            let checked = if is_json { troutknot_daemon::check(path) } else { scenario(path).map(|_| ()) };
+            let checked = match is_json {
+                true => troutknot_daemon::check(path),
+                false if is_own(path) => troutknot_daemon::check_own(path),
+                false => scenario(path).map(|_| ()),
+            };
             match checked {
                 Ok(()) => println!("{}: good", path.display()),
                 Err(why) => ended = Ended::Usage.because(why),
--- a/crates/cli/src/emulate.rs
+++ b/crates/cli/src/emulate.rs
@@ -6,12 +6,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::task::LocalSet;
-use troutknot_emulator::discovery::{Agent, Member};
+use troutknot_emulator::discovery::{self, Member};
 use troutknot_emulator::executors::{Host, Shared, Work};
 use troutknot_emulator::observed::{Listed, Record};
 use troutknot_rehearsal::plan::Plan;
 use troutknot_rehearsal::scenario::{Scenario, millis};
 use troutknot_rehearsal::world::Addresses;
+use troutknot_standins::consul::{Agent, Cluster, Instance, Status};
 
 /// Run the executors and the discovery of a scenario alone, for use by hand
 #[derive(Args)]
@@ -21,6 +22,9 @@
     scenario: PathBuf,
     #[arg(long)]
     seed: Option<u64>,
+    /// Serve so many of Consul's agents beside discovery
+    #[arg(long, value_name = "AGENTS", num_args = 0..=1, default_missing_value = "1", default_value_t = 0)]
+    consul: usize,
     /// End by itself after so long
     #[arg(long = "for", value_name = "TIME", default_value = "1h", value_parser = humantime::parse_duration)]
     lasts: Duration,
@@ -75,15 +79,25 @@
             println!("{} http://{}", host.name, host.addr);
             hosts.push(host);
         }
+        let cluster = Cluster::new("dc1");
+        cluster.register_all("box", members.iter().map(|m| Instance::new(&m.id, m.addr)).collect());
+        let mut agents = Vec::new();
+        for k in 0..self.consul.min(16) {
+            let at = addresses.agent(k + 1);
+            let agent = Agent::start(&cluster, at, None)
+                .map_err(|e| format!("no address for Consul on {at}: {e}"))?;
+            println!("consul http://{}/v1/health/service/box", agent.addr);
+            agents.push(agent);
+        }
         let at = addresses.agent(0);
-        let agent = Agent::start(&record, 0, at, members);
+        let agent = discovery::Agent::start(&record, 0, at, members);
         let agent = agent.map_err(|e| format!("no address for discovery on {at}: {e}"))?;
         println!("discovery http://{}/catalog/members", agent.addr());
         let began = tokio::time::Instant::now();
         let plays = async {
             for (at, step) in &plan.steps {
                 tokio::time::sleep_until(began + Duration::from_secs_f64(at / 1000.0)).await;
-                troubled(&hosts, step);
+                troubled(&hosts, &cluster, step);
             }
             std::future::pending::<()>().await
         };
@@ -104,8 +118,8 @@
     }
 }
 
-/// The steps of a plan that concern executors alone.
-fn troubled(hosts: &[Rc<Host>], step: &troutknot_rehearsal::plan::Step) {
+/// The steps of a plan that concern executors and how they are listed.
+fn troubled(hosts: &[Rc<Host>], cluster: &Cluster, step: &troutknot_rehearsal::plan::Step) {
     use troutknot_rehearsal::plan::Step::*;
     match step {
         TroubleBegins { number, executor, trouble } if *executor < hosts.len() => {
@@ -117,6 +131,14 @@
             eprintln!("{} is over it", hosts[*executor].name);
         }
         KillExecutor { executor } if *executor < hosts.len() => hosts[*executor].kill(),
+        ListFailing { executor } if *executor < hosts.len() => {
+            cluster.set("box", &[&hosts[*executor].name], Status::Critical);
+            eprintln!("{} is listed as failing", hosts[*executor].name);
+        }
+        ListWell { executor } if *executor < hosts.len() => {
+            cluster.set("box", &[&hosts[*executor].name], Status::Passing);
+            eprintln!("{} is listed as well", hosts[*executor].name);
+        }
         RestartExecutor { executor } if *executor < hosts.len() => hosts[*executor].restart(),
         _ => {}
     }
--- a/crates/cli/tests/rehearse.rs
+++ b/crates/cli/tests/rehearse.rs
@@ -167,15 +167,21 @@
     }
     assert!(troutknot(&["--version"]).status.success());
     let good = file("good.toml", DAY);
-    assert_eq!(troutknot(&["check", good.to_str().unwrap()]).status.code(), Some(0));
+    let own = concat!(env!("CARGO_MANIFEST_DIR"), "/../../deploy/troutknot.toml");
+    assert_eq!(troutknot(&["check", good.to_str().unwrap(), own]).status.code(), Some(0));
+    let text = std::fs::read_to_string(own).unwrap().replace("share = 0.5", "share = 5");
+    let bad = troutknot(&["check", file("own.toml", &text).to_str().unwrap()]);
+    assert_eq!(bad.status.code(), Some(2));
+    assert!(String::from_utf8_lossy(&bad.stderr).contains("`lists.consul.panic.share` must be 0 to 1"));
     assert!(String::from_utf8_lossy(&troutknot(&["completions", "bash"]).stdout).contains("_troutknot"));
 }
 
 #[test]
 fn a_fleet_by_hand_lists_itself() {
     let path = file("fleet.toml", DAY);
-    let out = troutknot(&["emulate", path.to_str().unwrap(), "--for", "300ms"]);
+    let out = troutknot(&["emulate", path.to_str().unwrap(), "--consul", "2", "--for", "300ms"]);
     let said = String::from_utf8_lossy(&out.stdout).to_string();
     assert_eq!(said.lines().filter(|l| l.starts_with("s-0000")).count(), 5, "{said}");
     assert!(said.contains("discovery http://127."), "{said}");
+    assert_eq!(said.lines().filter(|l| l.starts_with("consul http://127.")).count(), 2, "{said}");
 }
