--- a/src/lib.rs
+++ b/src/lib.rs
@@ -15,8 +15,7 @@
 //! ```
 //!
 //! Two hosts drive it: `crates/daemon`, the real node, and `crates/wirehost`, the simulator's adapter. Room
-//! is left, by boundaries alone, for IPP and a follower of Consul's catalogue; `crates/rehearsal` rehearses. Each
-//! would drive the same [`Dispatcher`].
+//! is left, by boundaries alone, for IPP. `crates/rehearsal` rehearses whole days with it.
 
 pub mod rules;
 pub mod terms;
