--- a/crates/daemon/tests/consul.rs
+++ b/crates/daemon/tests/consul.rs
@@ -395,3 +395,28 @@
         );
     }
 }
+
+#[test]
+fn several_services_are_one_list_also_where_answers_are_late() {
+    let (one, two) = (Executor::start(), Executor::start());
+    let all = [&one, &two];
+    let standins = Standins::start(1, None);
+    standins.register(&[&one]);
+    let addr = two.addr;
+    standins.with(move |cluster, _| cluster.register("cart", Instance::new("c0", addr)));
+    let own = own_file(None, &standins.agents, "");
+    let text = std::fs::read_to_string(&own).unwrap();
+    std::fs::write(&own, format!("{text}[[lists.consul.services]]\nname = \"cart\"\n")).unwrap();
+    let node = follow(&own);
+    wait_until_used(&node, "both services", &all, &[true, true]);
+    standins.script(0, Wrong::Late(Duration::from_millis(200)));
+    standins.with(|cluster, _| cluster.set("cart", &["c0"], Status::Critical));
+    wait_until_used(&node, "a late word counts when it comes", &all, &[true, false]);
+    // The operator takes a service out.
+    standins.with(|cluster, _| cluster.set("cart", &["c0"], Status::Passing));
+    wait_until_used(&node, "both again", &all, &[true, true]);
+    std::fs::write(&own, text).unwrap();
+    node.signal("HUP");
+    node.logged("service cart is no longer followed");
+    wait_until_used(&node, "the one that is left", &all, &[true, false]);
+}
--- a/crates/emulator/tests/sockets.rs
+++ b/crates/emulator/tests/sockets.rs
@@ -166,6 +166,15 @@
     }
 }
 
+#[test]
+fn an_address_in_use_is_said_and_not_shared() {
+    in_one_thread(|| async {
+        let (first, record) = host(Machine::default());
+        let shared = Shared::new(record, Arc::new(|_: &str| None), true);
+        assert!(Host::start(&shared, 1, Machine::default(), 1, first.addr, true).is_err());
+    });
+}
+
 #[test]
 fn connections_past_the_cap_are_not_served() {
     in_one_thread(|| async {
