--- a/crates/rehearsal/tests/mutants.rs
+++ b/crates/rehearsal/tests/mutants.rs
@@ -356,6 +356,9 @@
                 assert_eq!(found, expected, "{wrong:?}: {:#?}", report.verdict.breaches.first());
                 assert_eq!(report.verdict.fell_over > 0, wrong == IgnoresWarmth, "{wrong:?}");
                 assert!(report.verdict.all.requests > 100);
+                // Who sent what is said where a cold one was pushed over.
+                let pushed = report.verdict.breaches.iter().find(|b| b.rule == 4);
+                assert!(pushed.is_none_or(|b| b.what.contains("s-00003 stands") && b.what.contains("n0 ")));
             });
         }
     });
