Records of durable work units with leases and fences; every order of crash and wake-up checked

Need: on installations with a disk, exclusive work must be neither lost nor run twice when a node dies.

Change: crates/ledger, the state that follows from any prefix of records, without I/O: a lease that runs out is unknown, never free; a fence that its executor confirms never ran. Not in use yet.

Ten records that do not follow are refused and change nothing.

--- /dev/null
+++ b/crates/ledger/tests/interleavings.rs
@@ -0,0 +1,172 @@
+//! Every order of crash, lease end, wake-up, late end and retry, until no new state comes, for one exclusive work
+//! unit: it must never run twice, nor be out twice at once. A ledger whose leases free must be caught.
+use std::collections::HashSet;
+use troutknot::{AllocId, Effect, Outcome, WuId};
+use troutknot_ledger::{Broken, Fence, Ledger, Record, Refused, Standing};
+
+const WU: WuId = WuId(1);
+const MOST: usize = 3;
+const DEPTH: usize = 24;
+
+/// What an executor did with an allocation that reached it, or not.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, Debug)]
+enum At {
+    /// On record, not sent.
+    Record,
+    /// Taken, and paused for any time.
+    Paused,
+    Ran,
+    Refused,
+}
+
+#[derive(Clone, PartialEq, Eq, Hash, Debug, Default)]
+struct World {
+    /// One a lease, each an own unit of time; the lease of an allocation ends by a step.
+    allocs: Vec<(At, bool)>,
+    /// Ends and fences on record.
+    ended: Vec<Option<bool>>,
+    up: bool,
+}
+
+/// The records that a world stands for: all of them are on disk whenever a step is over.
+fn records(world: &World) -> Vec<Record> {
+    let mut records = vec![Record::Taken { wu: WU, effect: Effect::Exclusive, limit: 1e9 }];
+    for (k, (_, lease_over)) in world.allocs.iter().enumerate() {
+        let lease_until = if *lease_over { 0.0 } else { f64::MAX };
+        let fence = Fence(k as u64 + 1);
+        records.push(Record::Allocated { wu: WU, fence, executor: "s".into(), lease_until });
+        match world.ended[k] {
+            Some(true) => {
+                records.push(Record::Ended { wu: WU, alloc: AllocId(k as u32), outcome: Outcome::Completed })
+            }
+            Some(false) => records.push(Record::Fenced { wu: WU, alloc: AllocId(k as u32) }),
+            None => {}
+        }
+    }
+    records
+}
+
+/// All that may happen next; `frees` is the mutant whose leases free when they end.
+fn next(world: &World, frees: bool) -> Vec<World> {
+    let mut worlds = Vec::new();
+    let mut then = |change: &dyn Fn(&mut World)| {
+        let mut next = world.clone();
+        change(&mut next);
+        worlds.push(next);
+    };
+    if !world.up {
+        then(&|w| w.up = true);
+    } else {
+        then(&|w| w.up = false);
+        let (ledger, broken) = Ledger::recover(MOST, &records(world));
+        assert!(broken.is_none() || frees, "{broken:?} {world:?}");
+        let wu = ledger.wu(WU).unwrap();
+        let mutant = frees && world.allocs.len() < MOST && world.allocs.iter().all(|(_, over)| *over);
+        if wu.may_allocate(1.0, MOST).is_ok() || mutant {
+            then(&|w| {
+                w.allocs.push((At::Record, false));
+                w.ended.push(None);
+            });
+        }
+    }
+    for (k, (at, lease_over)) in world.allocs.iter().enumerate() {
+        match at {
+            // A node that is down sends nothing, and one that came back does not send what it had recorded.
+            At::Record if world.up && k + 1 == world.allocs.len() => then(&|w| w.allocs[k].0 = At::Paused),
+            At::Paused => then(&|w| w.allocs[k].0 = At::Ran),
+            At::Ran if world.up && world.ended[k].is_none() => then(&|w| w.ended[k] = Some(true)),
+            _ => {}
+        }
+        if !lease_over {
+            then(&|w| w.allocs[k].1 = true);
+        }
+        // The executor is asked, and says that it has not run this fence and never will.
+        if world.up && *lease_over && matches!(at, At::Record | At::Paused) && world.ended[k].is_none() {
+            then(&|w| (w.allocs[k].0, w.ended[k]) = (At::Refused, Some(false)));
+        }
+    }
+    worlds
+}
+
+/// The most runs in any state within the depth, and how many states there are.
+fn explore(frees: bool) -> (usize, usize) {
+    let mut seen: HashSet<World> = HashSet::from([World::default()]);
+    let (mut edge, mut most) = (vec![World::default()], 0);
+    for _ in 0..DEPTH {
+        let worlds: Vec<World> = edge.iter().flat_map(|world| next(world, frees)).collect();
+        edge = worlds.into_iter().filter(|world| seen.insert(world.clone())).collect();
+        for world in &edge {
+            most = most.max(world.allocs.iter().filter(|(at, _)| *at == At::Ran).count());
+        }
+    }
+    assert!(edge.is_empty(), "the depth reaches every state");
+    (most, seen.len())
+}
+
+#[test]
+fn no_order_of_events_runs_exclusive_work_twice_and_a_lease_that_frees_is_caught() {
+    let (most, states) = explore(false);
+    assert_eq!(most, 1, "in {states} states");
+    println!("{states} states to depth {DEPTH}");
+    assert!(states > 50, "{states} states");
+    assert!(explore(true).0 > 1, "the mutant is caught");
+}
+
+#[test]
+fn records_that_do_not_follow_are_refused_and_change_nothing() {
+    let taken = Record::Taken { wu: WU, effect: Effect::Exclusive, limit: 9.0 };
+    let allocated =
+        |fence| Record::Allocated { wu: WU, fence: Fence(fence), executor: "s".into(), lease_until: 5.0 };
+    let ended = |outcome| Record::Ended { wu: WU, alloc: AllocId(0), outcome };
+    let cases: Vec<(Vec<Record>, Record, Broken)> = vec![
+        (vec![], allocated(1), Broken::UnknownWu),
+        (vec![taken.clone()], taken.clone(), Broken::TakenTwice),
+        (vec![taken.clone()], ended(Outcome::Reset), Broken::UnknownAlloc),
+        (vec![taken.clone(), allocated(1)], allocated(2), Broken::Refused(Refused::Out)),
+        (
+            vec![taken.clone(), allocated(1), ended(Outcome::Reset)],
+            allocated(2),
+            Broken::Refused(Refused::MayHaveRun),
+        ),
+        (vec![taken.clone(), allocated(7), ended(Outcome::Full)], allocated(7), Broken::Fence),
+        (vec![taken.clone(), allocated(1), ended(Outcome::Full)], ended(Outcome::Full), Broken::Ended),
+        (
+            vec![taken.clone(), allocated(1), Record::Started { wu: WU, alloc: AllocId(0) }],
+            Record::Fenced { wu: WU, alloc: AllocId(0) },
+            Broken::Ended,
+        ),
+        (vec![taken.clone(), Record::Answered { wu: WU }], allocated(1), Broken::Over),
+        (vec![taken.clone()], Record::Forgotten { wu: WU }, Broken::Open),
+    ];
+    for (before, record, expected) in cases {
+        let mut ledger = Ledger::new(MOST);
+        before.iter().for_each(|record| ledger.apply(1.0, record).unwrap());
+        let was = ledger.clone();
+        assert_eq!(ledger.apply(1.0, &record), Err(expected), "{record:?}");
+        assert_eq!(ledger, was);
+    }
+}
+
+#[test]
+fn leases_that_run_out_are_unknown_and_heartbeats_hold_them() {
+    let mut ledger = Ledger::new(MOST);
+    let alloc = AllocId(0);
+    for record in [
+        Record::Taken { wu: WU, effect: Effect::Rerunnable, limit: 1e9 },
+        Record::Allocated { wu: WU, fence: Fence(1), executor: "s".into(), lease_until: 10.0 },
+        Record::Heartbeat { wu: WU, alloc, lease_until: 20.0 },
+        // One that was under way for long does not shorten it.
+        Record::Heartbeat { wu: WU, alloc, lease_until: 15.0 },
+    ] {
+        ledger.apply(1.0, &record).unwrap();
+    }
+    let wu = ledger.wu(WU).unwrap();
+    assert_eq!(
+        [9.0, 19.0, 20.0].map(|now| wu.allocations[0].standing(now)),
+        [Standing::Out, Standing::Out, Standing::Unknown]
+    );
+    assert_eq!(wu.may_allocate(19.0, MOST), Err(Refused::Out));
+    assert_eq!(wu.may_allocate(20.0, MOST), Ok(Fence(2)), "rerunnable work may run again");
+    assert_eq!(wu.may_allocate(20.0, 1), Err(Refused::Most));
+    assert_eq!(ledger.open().count(), 1);
+}
