--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -141,7 +141,7 @@
     }
     let (discovery, followed) = watch::channel(told.discovery);
     let (consul, consul_wanted) = watch::channel(file.lists.consul.clone());
-    let merge: Rc<RefCell<Merge>> = Rc::default();
+    let merge = Rc::new(RefCell::new(Merge::new(limits.known)));
     for (place, source) in file.lists.sources.iter().enumerate() {
         let several = file.lists.sources.len() > 1;
         let events = events.clone();
--- a/crates/daemon/src/lists/merge.rs
+++ b/crates/daemon/src/lists/merge.rs
@@ -11,9 +11,10 @@
     told: Option<Entry>,
 }
 
-#[derive(Default)]
 pub struct Merge {
     executors: BTreeMap<String, Said>,
+    /// So many are kept in mind; further ones are left out. Guards against lists that name ever new ones.
+    most: usize,
 }
 
 const READY: &str = "Ready";
@@ -34,6 +35,10 @@
 }
 
 impl Merge {
+    pub fn new(most: usize) -> Self {
+        Merge { executors: BTreeMap::new(), most }
+    }
+
     /// What changes for the node by a source's word.
     pub fn take(&mut self, source: usize, kind: ListKind, entries: Vec<Entry>) -> Vec<Entry> {
         let mut touched: Vec<String> = entries.iter().map(|entry| entry.id.clone()).collect();
@@ -51,6 +56,9 @@
             }
         }
         for entry in entries {
+            if self.executors.len() >= self.most && !self.executors.contains_key(&entry.id) {
+                continue;
+            }
             let said = self.executors.entry(entry.id.clone()).or_default();
             said.by.insert(source, entry);
         }
@@ -74,7 +82,7 @@
 #[test]
 fn sources_that_disagree_are_settled_by_the_strictest_word_and_the_first_figures() {
     let entry = |id: &str, addr: &str, state: &str| Entry::of(id, addr, state);
-    let mut merge = Merge::default();
+    let mut merge = Merge::new(3);
     let mut said = |source, kind, entries: &[(&str, &str, &str)]| {
         let entries = entries.iter().map(|(id, addr, state)| entry(id, addr, state)).collect();
         let changes: Vec<String> = merge
@@ -93,4 +101,6 @@
     assert_eq!(said(0, Whole, &[]), "a one Gone", "and by both");
     assert_eq!(said(1, Changes, &[("b", "two", "Ready")]), "", "nothing twice");
     assert_eq!(said(1, Changes, &[("a", "two", "Ready")]), "a two Ready", "back");
+    let more = [("c", "two", "Ready"), ("d", "two", "Ready"), ("b", "two", "Terminating")];
+    assert_eq!(said(1, Changes, &more), "c two Ready, b two Terminating", "no more than are kept in mind");
 }
