--- a/crates/daemon/tests/consul.rs
+++ b/crates/daemon/tests/consul.rs
@@ -103,7 +103,8 @@
 }
 
 fn wait_until_used(node: &Node, what: &str, executors: &[&Executor], expected: &[bool]) {
-    until(what, || used(node, 12, executors).iter().map(|n| *n > 0).eq(expected.iter().copied()));
+    // Enough that none which is used is missed by chance.
+    until(what, || used(node, 24, executors).iter().map(|n| *n > 0).eq(expected.iter().copied()));
 }
 
 #[test]
@@ -240,7 +241,9 @@
     }
     let token = format!("{own}.token");
     std::fs::write(&token, "wrong").unwrap();
-    own_file(Some(&own), &second.agents, &format!("token_file = \"{token}\""));
+    // Another cluster lists others: by default half of what was listed would stay until it is believed gone.
+    let panic = "[lists.consul.panic]\nshare = 1.0";
+    own_file(Some(&own), &second.agents, &format!("token_file = \"{token}\"\n{panic}"));
     node.signal("HUP");
     assert!(node.logged("gives no list of box").contains("status 403"));
     assert_eq!(used(&node, 5, &[&one, &two]), [5, 0], "the list is kept meanwhile");
