--- a/crates/daemon/src/clients/mod.rs
+++ b/crates/daemon/src/clients/mod.rs
@@ -1,11 +1,12 @@
 //! The client side: accepts connections, takes work units in, and writes each its one final answer.
+use crate::durable::{Durable, Found, Joint};
 use crate::events::Event;
 use crate::exchange::{Answer, Exchange, Work};
 use crate::held::HeldBytes;
 use crate::http1::{self, Connection, Failed};
 use crate::limits::Limits;
 use crate::stage::Stage;
-use crate::words::{READY_PATH, Vocabulary};
+use crate::words::{self, READY_PATH, TELL_PATH, Vocabulary};
 use bytes::BytesMut;
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet};
@@ -23,7 +24,8 @@
     pub stage: watch::Receiver<Stage>,
     /// What is said beside the health, where the operator's file asks for more than the platform has.
     status: Rc<RefCell<String>>,
-    held: Rc<HeldBytes>,
+    durable: Option<Rc<Durable>>,
+    pub held: Rc<HeldBytes>,
     rings: Rc<HeldBytes>,
     slow_bodies: Semaphore,
     /// Ids of open work units, and of those that are over.
@@ -74,7 +76,16 @@
 /// A request that came whole and can be taken.
 enum Came {
     AsksReady,
-    Work { work: Work, left: Duration, keep: bool },
+    /// What is on record of a work unit.
+    Asks {
+        id: String,
+        keep: bool,
+    },
+    Work {
+        work: Work,
+        left: Duration,
+        keep: bool,
+    },
 }
 
 /// Why none came: a status that says what is wrong, or the client is gone.
@@ -90,8 +101,11 @@
         events: mpsc::Sender<Event>,
         stage: watch::Receiver<Stage>,
         status: Rc<RefCell<String>>,
+        durable: Option<Rc<Durable>>,
     ) -> Rc<Self> {
+        let next_wu = durable.as_ref().map_or(0, |durable| durable.next_wu());
         Rc::new(Clients {
+            durable,
             words,
             events,
             stage,
@@ -105,7 +119,7 @@
                 older: HashSet::new(),
                 turned: Instant::now(),
             }),
-            next_wu: Cell::new(0),
+            next_wu: Cell::new(next_wu),
             next_connection: Cell::new(0),
             open: RefCell::default(),
             ended: Notify::new(),
@@ -222,10 +236,32 @@
                 Ok(Came::AsksReady) => {
                     // Whoever asks that needs no connection afterwards.
                     let ready = *self.stage.borrow() == Stage::Serving;
-                    let said = self.status.borrow().clone();
+                    let mut said = self.status.borrow().clone();
+                    self.durable.iter().for_each(|durable| said += &durable.said());
                     self.write(connection, if ready { 200 } else { 503 }, false, &[], said.as_bytes()).await;
                     false
                 }
+                Ok(Came::Asks { id, keep }) => {
+                    let told = self.durable.as_ref().and_then(|durable| durable.tell(&id));
+                    let (status, said) = told.map_or((404, String::new()), |told| (200, told));
+                    self.write(connection, status, keep, &[], said.as_bytes()).await && keep
+                }
+                Ok(Came::Work { work, left, keep }) if self.is_durable(&work) => {
+                    standing.worked.set(true);
+                    let (answer, wu) = match self.serve_durably(connection, work, left, full).await {
+                        Ok(None) => return,
+                        Ok(Some(answer)) => answer,
+                        Err(status) => return self.reject(connection, standing, status).await,
+                    };
+                    let room = self.connections() <= self.limits.clients;
+                    let keep = keep && room && *self.stage.borrow() != Stage::Closing;
+                    let (status, fields, result) = self.words.answer(&answer);
+                    let written = self.write(connection, status, keep, &fields, &result).await;
+                    if let (true, Some(durable), Some(wu)) = (written, &self.durable, wu) {
+                        durable.acknowledged(wu);
+                    }
+                    written && keep
+                }
                 Ok(Came::Work { work, left, keep }) => {
                     let (answer, room) = match self.open(work, left, full) {
                         Ok((exchange, last)) => {
@@ -287,10 +323,22 @@
         if head.target == READY_PATH {
             return Ok(Came::AsksReady);
         }
+        if let Some(id) = head.target.strip_prefix(TELL_PATH).filter(|_| self.durable.is_some()) {
+            if head.method != "GET" {
+                return Err(Some(405));
+            }
+            return Ok(Came::Asks { id: id.to_string(), keep: head.keep });
+        }
         let (mut work, left) = self.words.work(&head).map_err(|(status, why)| {
             tracing::debug!("not taken: {why}");
             Some(status)
         })?;
+        if let Some(durable) = &self.durable {
+            work.key = words::key(&head, &durable.terms.key_header).map_err(|(status, why)| {
+                tracing::debug!("not taken: {why}");
+                Some(status)
+            })?;
+        }
         let (mut body, most) = (BytesMut::new(), self.limits.body);
         let whole = connection.body_so_far(&mut head.body, &mut body, most);
         if !whole.map_err(|bad| Some(bad.status()))? {
@@ -326,6 +374,63 @@
         Ok((exchange, last))
     }
 
+    fn is_durable(&self, work: &Work) -> bool {
+        self.durable.as_ref().is_some_and(|durable| durable.wants(work))
+    }
+
+    /// Takes a work unit on record, or finds it there, and waits for its answer; none where the client left,
+    /// which ends nothing: the work goes on, and its answer is on record.
+    async fn serve_durably(
+        &self,
+        connection: &mut Connection,
+        work: Work,
+        left: Duration,
+        full: bool,
+    ) -> Result<Option<(Answer, Option<WuId>)>, u16> {
+        let Some(durable) = &self.durable else { return Err(500) };
+        let come_back = Answer::Deferred(Some(1000.0));
+        let (joint, wu, last) = match durable.find(&work) {
+            Found::OtherBody => return Err(422),
+            Found::Twice => return Err(409),
+            Found::Ended(wu) => {
+                // That nothing can be read says nothing of the work: it may have run.
+                let recorded = durable.recorded(wu).await;
+                return Ok(Some((recorded.unwrap_or(Answer::Aborted), Some(wu))));
+            }
+            Found::Open(joint) => {
+                let margin = self.limits.last_answer_margin.min(left.mul_f64(0.1));
+                (joint, None, Instant::now() + left - margin)
+            }
+            Found::New => {
+                if !durable.is_ready() {
+                    return Ok(Some((come_back, None)));
+                }
+                let (exchange, last) = match self.open(work, left, full) {
+                    Ok(opened) => opened,
+                    Err(Some(status)) => return Err(status),
+                    Err(None) => return Ok(Some((come_back, None))),
+                };
+                // From here on the ledger knows its id.
+                let _ = exchange.durable.set(durable.clone());
+                let taken = durable.take(&exchange, last).await;
+                self.ids.borrow_mut().remove(&exchange.work.id);
+                let joint: Rc<Joint> = match taken {
+                    Ok(joint) => joint,
+                    Err(answer) => return Ok(Some((answer, None))),
+                };
+                let _ = self.events.send(Event::Arrived(exchange.clone())).await;
+                (joint, Some(exchange.wu), last)
+            }
+        };
+        let answer = tokio::select! {
+            biased;
+            answer = joint.answered() => Some(answer),
+            () = connection.gone() => None,
+            () = sleep_until(last) => Some(Answer::Aborted),
+        };
+        Ok(answer.map(|answer| (answer, wu)))
+    }
+
     /// Hands a work unit over and waits for its answer; none where the client left.
     async fn wait(
         &self,
@@ -366,7 +471,7 @@
         let limits = Rc::new(Limits::of(&stated));
         let (events, mut told) = mpsc::channel(16);
         let (_stage, staged) = watch::channel(Stage::Serving);
-        let clients = Clients::new(limits, words, events, staged, Rc::default());
+        let clients = Clients::new(limits, words, events, staged, Rc::default(), None);
         let whole = "POST /render HTTP/1.1\r\nHost: a\r\nRequest-Id: 1\r\nConnection: close\r\n\
                      Content-Length: 2\r\n\r\nab";
         let local = tokio::task::LocalSet::new();
--- a/crates/daemon/src/driver.rs
+++ b/crates/daemon/src/driver.rs
@@ -1,6 +1,6 @@
 //! Owns the dispatcher: tells it what the sides saw, and hands each of its actions to the side that acts.
 use crate::clock::Clock;
-use crate::events::Event;
+use crate::events::{Earlier, Event};
 use crate::exchange::{Answer, Exchange, Stop};
 use crate::executors::{Executors, Push};
 use crate::stage::Stage;
@@ -122,6 +122,7 @@
                 self.open.insert(exchange.wu, Open { exchange, allocs: 0, stop: Rc::default() });
                 told
             }
+            Event::Recovered(exchange, earlier) => return self.recovered(now, exchange, earlier),
             Event::Left(wu) => {
                 self.open.remove(&wu);
                 Heard::Withdrawn { wu }
@@ -151,6 +152,33 @@
         self.dispatcher.tell(now, told);
     }
 
+    /// Tells of a work unit from an earlier life: its arrival, then each allocation and its end, as far as known.
+    fn recovered(&mut self, now: Millis, exchange: Rc<Exchange>, earlier: Vec<Earlier>) {
+        let wu = exchange.wu;
+        self.tell(now, Event::Arrived(exchange.clone()));
+        let Some(open) = self.open.get_mut(&wu) else { return };
+        open.allocs = earlier.len() as u32;
+        for (number, Earlier { executor: name, sent, outcome, lease }) in earlier.into_iter().enumerate() {
+            let alloc = AllocId(number as u32);
+            let is_new = !self.numbers.knows(&name);
+            let executor = self.numbers.of(&name);
+            if is_new {
+                let gone = self.words.listing(&Entry::gone(&name), executor);
+                self.dispatcher.tell(now, Heard::ListTold { kind: ListKind::Changes, entries: vec![gone] });
+            }
+            self.dispatcher.tell(now, Heard::Recovered { wu, executor, sent });
+            match outcome {
+                Some(outcome) => {
+                    self.dispatcher.tell(now, Heard::Ended { wu, alloc, outcome, closed: false })
+                }
+                None => {
+                    let settled = self.executors.clone().settle(exchange.clone(), executor, alloc, lease);
+                    tokio::task::spawn_local(settled);
+                }
+            }
+        }
+    }
+
     fn list(&mut self, kind: ListKind, entries: Vec<Entry>) -> Heard {
         let (mut told, mut left_out) = (Vec::with_capacity(entries.len()), 0);
         // Who is missing from a whole list is gone.
@@ -196,7 +224,8 @@
                 let cut = self.clock.when(cut_at).min(open.exchange.limit);
                 let decided = Instant::now();
                 let (exchange, stop) = (open.exchange.clone(), open.stop.clone());
-                let push = Push { exchange, executor, alloc, decided, cut, stop };
+                let name = exchange.durable.get().map(|_| self.numbers.name(executor).to_string());
+                let push = Push { exchange, executor, name, alloc, decided, cut, stop };
                 tokio::task::spawn_local(self.executors.clone().allocate(push));
             }
             Action::Cancel { wu, alloc } => {
--- /dev/null
+++ b/crates/daemon/src/durable/lease.rs
@@ -0,0 +1,97 @@
+//! One allocation on record: its signs of life, and its one end.
+use super::Durable;
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::{Instant, sleep_until};
+use troutknot::{AllocId, Millis, Outcome, WuId};
+use troutknot_ledger::{Fence, Record};
+
+pub struct Lease {
+    durable: Rc<Durable>,
+    wu: WuId,
+    alloc: AllocId,
+    pub fence: Fence,
+    /// When it was recorded.
+    at: Millis,
+    until: Cell<Instant>,
+    told: Cell<Option<Instant>>,
+    started: Cell<bool>,
+    over: Cell<bool>,
+}
+
+impl Lease {
+    pub fn new(durable: Rc<Durable>, wu: WuId, number: usize, fence: Fence, at: Millis) -> Self {
+        let span = durable.terms.lease.unwrap_or(Duration::from_secs(86_400));
+        Lease {
+            durable,
+            wu,
+            alloc: AllocId(number as u32),
+            fence,
+            at,
+            until: Cell::new(Instant::now() + span),
+            told: Cell::new(None),
+            started: Cell::new(false),
+            over: Cell::new(false),
+        }
+    }
+
+    /// What the executor is told of it: the fence, and the lease in milliseconds; none where it knows neither.
+    pub fn told_to_executor(&self) -> Option<(u64, Option<Millis>)> {
+        let terms = &self.durable.terms;
+        let lease = terms.lease.map(|span| span.as_secs_f64() * 1000.0);
+        (terms.fences || lease.is_some()).then_some((self.fence.0, lease))
+    }
+
+    pub fn fences_known(&self) -> bool {
+        self.durable.terms.fences
+    }
+
+    /// How long ago it was recorded.
+    pub fn age(&self) -> Millis {
+        (self.durable.now() - self.at).max(0.0)
+    }
+
+    /// A sign of life came; `started` where it says that it runs.
+    pub fn beat(&self, started: bool) {
+        let (wu, alloc, now) = (self.wu, self.alloc, Instant::now());
+        if started && !self.started.replace(true) {
+            self.durable.later(Record::Started { wu, alloc });
+        }
+        let Some(span) = self.durable.terms.lease else { return };
+        self.until.set(now + span);
+        // Not each one: a lease on record may be shorter than it is, never longer.
+        if self.told.get().is_none_or(|told| now - told >= span / 3) {
+            self.told.set(Some(now));
+            let lease_until = self.durable.now() + span.as_secs_f64() * 1000.0;
+            self.durable.later(Record::Heartbeat { wu, alloc, lease_until });
+        }
+    }
+
+    /// Ends when the lease has run out.
+    pub async fn over(&self) {
+        loop {
+            let until = self.until.get();
+            sleep_until(until).await;
+            if self.until.get() <= until {
+                return;
+            }
+        }
+    }
+
+    /// Its one end.
+    pub fn ended(&self, outcome: Outcome) {
+        if !self.over.replace(true) {
+            self.durable.later(Record::Ended { wu: self.wu, alloc: self.alloc, outcome });
+        }
+    }
+
+    /// Its executor has not run it, and refuses it from now on; false where it was seen to run.
+    pub fn fenced(&self) -> bool {
+        if self.over.get() || !self.durable.later(Record::Fenced { wu: self.wu, alloc: self.alloc }) {
+            return false;
+        }
+        self.over.set(true);
+        true
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/durable/mod.rs
@@ -0,0 +1,499 @@
+//! Durable work units: taken, allocated and answered on record, so that a node that dies takes up after its start
+//! what it had. Off without `[durable]` in the operator's file; then nothing of this runs.
+mod lease;
+
+pub use lease::Lease;
+
+use crate::clock::Clock;
+use crate::events::{Earlier, Event};
+use crate::exchange::{Answer, Exchange, Work};
+use crate::held::HeldBytes;
+use crate::limits::Limits;
+use crate::operator::{Durably, Syncs};
+use crate::stage::Stage;
+use crate::words::Vocabulary;
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+use sha2::{Digest as _, Sha256};
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::fmt::Write;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio::task::spawn_local;
+use tokio::time::{Instant, sleep, sleep_until, timeout};
+use troutknot::{Effect, Millis, NamedValues, WuId};
+use troutknot_ledger::committer::{Committer, NotWritten};
+use troutknot_ledger::store::Store;
+use troutknot_ledger::{Answer as Kept, Digest, Ledger, Record, Row, Standing};
+
+/// How often what is kept no longer is looked for, and how much of it goes at once.
+const FORGET_EVERY: Duration = Duration::from_secs(1);
+const MOST_FORGOTTEN: usize = 1000;
+/// An answer whose record the disk did not take is tried again after so long.
+const WRITE_AGAIN: Duration = Duration::from_millis(200);
+/// What is open from before and has no room yet is tried again after so long.
+const ROOM_AGAIN: Duration = Duration::from_millis(20);
+
+pub struct Durable {
+    pub terms: Durably,
+    limits: Rc<Limits>,
+    clock: Clock,
+    /// Added to the clock's times, where it had jumped back since the last record.
+    offset: Millis,
+    words: Rc<Vocabulary>,
+    events: mpsc::Sender<Event>,
+    committer: Committer,
+    ledger: RefCell<Ledger>,
+    /// Work units whose answer is not on record yet.
+    joints: RefCell<HashMap<WuId, Rc<Joint>>>,
+    effects: Vec<Effect>,
+    most_allocs: usize,
+    /// Open ones that were on record at the start, and how many of them are still to be taken up.
+    before: RefCell<Vec<WuId>>,
+    to_recover: Cell<usize>,
+    failing: Cell<bool>,
+}
+
+/// Where all who wait for a work unit's answer meet; it is told once it is on record.
+pub struct Joint {
+    answer: watch::Sender<Option<Answer>>,
+}
+
+impl Joint {
+    pub async fn answered(&self) -> Answer {
+        let mut told = self.answer.subscribe();
+        let answer = told.wait_for(Option::is_some).await;
+        answer.ok().and_then(|answer| answer.clone()).unwrap_or(Answer::Aborted)
+    }
+}
+
+/// What is known of a request that a client makes.
+pub enum Found {
+    New,
+    /// The same is open.
+    Open(Rc<Joint>),
+    /// The same has its answer on record.
+    Ended(WuId),
+    /// Its key came with another body.
+    OtherBody,
+    /// Its id is on record, and it has no key that says that it is the same.
+    Twice,
+}
+
+/// What is needed to send a work unit, as it is on record.
+#[derive(Serialize, Deserialize)]
+struct Sent {
+    method: String,
+    target: String,
+    fields: Vec<u8>,
+    body: Vec<u8>,
+    project_type: String,
+    customer: String,
+    slots: f64,
+    memory: f64,
+}
+
+fn digest(work: &Work) -> Digest {
+    let mut hash = Sha256::new();
+    for part in [work.method.as_bytes(), work.target.as_bytes(), &work.body] {
+        hash.update((part.len() as u64).to_le_bytes());
+        hash.update(part);
+    }
+    hash.finalize().into()
+}
+
+fn kept(answer: &Answer) -> Kept {
+    match answer {
+        Answer::Completed(result) => Kept::Completed(result.to_vec()),
+        Answer::Deferred(come_back) => Kept::Deferred(*come_back),
+        Answer::Aborted => Kept::Aborted,
+    }
+}
+
+fn answer_of(kept: Kept) -> Answer {
+    match kept {
+        Kept::Completed(result) => Answer::Completed(result.into()),
+        Kept::Deferred(come_back) => Answer::Deferred(come_back),
+        Kept::Aborted => Answer::Aborted,
+    }
+}
+
+impl Durable {
+    /// Opens the ledger and reads what is on it.
+    ///
+    /// # Errors
+    /// One line that says why it cannot be used.
+    pub fn start(
+        terms: Durably,
+        limits: &Rc<Limits>,
+        clock: Clock,
+        words: &Rc<Vocabulary>,
+        values: &NamedValues,
+        events: &mpsc::Sender<Event>,
+    ) -> Result<Rc<Self>, String> {
+        let most_allocs = (values.number("limits.most_allocations", 1.0) as usize).clamp(1, 3);
+        let path = terms.path.clone();
+        let open = Box::new({
+            let path = path.clone();
+            move || Store::open(&path)
+        });
+        let began = Instant::now();
+        let opened = Committer::start(open, terms.sync == Syncs::Together, most_allocs);
+        let (committer, ledger) = opened.map_err(|why| format!("ledger `{}`: {why}", path.display()))?;
+        let name = |k: usize| format!("project_types.{k}.effect");
+        let effects = (0..).take_while(|k| values.holds(&format!("project_types.{k}.hard_limit")));
+        let effects = effects.map(|k| Effect::named(values.text(&name(k)))).collect();
+        let mut before: Vec<(u64, WuId)> =
+            ledger.open().map(|(wu, of)| (of.limit.max(0.0).to_bits(), wu)).collect();
+        before.sort_unstable();
+        let offset = (ledger.last() - clock.now()).max(0.0);
+        if offset > 0.0 {
+            tracing::warn!("the clock is {offset:.0} ms behind the ledger; its times go on from there");
+        }
+        tracing::info!(
+            "ledger `{}`: {} work units on record, {} of them open, read in {:.0} ms",
+            path.display(),
+            ledger.len(),
+            before.len(),
+            began.elapsed().as_secs_f64() * 1000.0
+        );
+        Ok(Rc::new(Durable {
+            limits: limits.clone(),
+            clock,
+            offset,
+            words: words.clone(),
+            events: events.clone(),
+            committer,
+            ledger: RefCell::new(ledger),
+            joints: RefCell::default(),
+            effects,
+            most_allocs,
+            to_recover: Cell::new(before.len()),
+            before: RefCell::new(before.into_iter().map(|(_, wu)| wu).collect()),
+            failing: Cell::new(false),
+            terms,
+        }))
+    }
+
+    /// Unix time in milliseconds that never goes back, also not over a restart.
+    pub fn now(&self) -> Millis {
+        self.clock.now() + self.offset
+    }
+
+    /// Work units get numbers from here on.
+    pub fn next_wu(&self) -> u64 {
+        self.ledger.borrow().next()
+    }
+
+    /// Whether a work unit is taken durably.
+    pub fn wants(&self, work: &Work) -> bool {
+        let effect = self.effects.get(work.project_type.0 as usize).copied();
+        work.key.is_some() || effect.is_some_and(|effect| self.terms.takes(effect))
+    }
+
+    pub fn find(&self, work: &Work) -> Found {
+        let ledger = self.ledger.borrow();
+        let Some(wu) = work.key.as_ref().and_then(|key| ledger.by_key(key)) else {
+            return if ledger.by_id(&work.id).is_some() { Found::Twice } else { Found::New };
+        };
+        let Some(known) = ledger.wu(wu) else { return Found::New };
+        if known.digest != digest(work) {
+            return Found::OtherBody;
+        }
+        match self.joints.borrow().get(&wu) {
+            Some(joint) => return Found::Open(joint.clone()),
+            None if known.answered.is_some() => return Found::Ended(wu),
+            None => {}
+        }
+        // Open from before, and not taken up yet.
+        Found::Open(self.joint(wu))
+    }
+
+    /// Whether new work may be taken.
+    pub fn is_ready(&self) -> bool {
+        let ready = self.committer.ready(self.terms.slow_after);
+        let full = self.ledger.borrow().len() >= self.terms.most.min(self.limits.durable);
+        let why = ready.err().or(full.then(|| "it is full".to_string()));
+        if self.failing.replace(why.is_some()) != why.is_some() {
+            match &why {
+                Some(why) => tracing::warn!("ledger: new durable work is deferred: {why}"),
+                None => tracing::info!("ledger: durable work is taken again"),
+            }
+        }
+        why.is_none()
+    }
+
+    fn joint(&self, wu: WuId) -> Rc<Joint> {
+        let mut joints = self.joints.borrow_mut();
+        joints.entry(wu).or_insert_with(|| Rc::new(Joint { answer: watch::channel(None).0 })).clone()
+    }
+
+    async fn write(&self, rows: Vec<Row>) -> Result<(), NotWritten> {
+        let (tell, told) = oneshot::channel();
+        self.committer.write(rows, move |came| _ = tell.send(came));
+        told.await.unwrap_or_else(|_| Err(NotWritten("the ledger has ended".into())))
+    }
+
+    fn apply(&self, record: Record) -> Option<Row> {
+        let row = self.ledger.borrow_mut().apply(self.now(), record);
+        row.inspect_err(|why| tracing::debug!("ledger: not recorded: {why}")).ok()
+    }
+
+    /// On record soon; nobody waits for it. False where it does not follow from what is.
+    fn later(&self, record: Record) -> bool {
+        let row = self.apply(record);
+        let follows = row.is_some();
+        row.into_iter().for_each(|row| self.committer.later(row));
+        follows
+    }
+
+    /// Takes a work unit: once this ends well, it is on disk. Else it is answered as deferred, and was never sent.
+    pub async fn take(self: &Rc<Self>, exchange: &Rc<Exchange>, last: Instant) -> Result<Rc<Joint>, Answer> {
+        let (wu, work) = (exchange.wu, &exchange.work);
+        let left = exchange.limit.saturating_duration_since(Instant::now()).as_secs_f64() * 1000.0;
+        let (project_type, customer) = self.words.names_of(work);
+        let sent = Sent {
+            method: work.method.clone(),
+            target: work.target.clone(),
+            fields: work.fields.to_vec(),
+            body: work.body.to_vec(),
+            project_type,
+            customer,
+            slots: work.slots,
+            memory: work.memory,
+        };
+        let come_back = Answer::Deferred(Some(1000.0));
+        let record = Record::Taken {
+            wu,
+            effect: self.effects[work.project_type.0 as usize],
+            limit: self.now() + left,
+            id: work.id.clone(),
+            key: work.key.clone(),
+            digest: digest(work),
+            work: postcard::to_stdvec(&sent).map_err(|_| come_back.clone())?,
+        };
+        let Some(row) = self.apply(record) else { return Err(come_back) };
+        let joint = self.joint(wu);
+        let written = timeout(self.terms.slow_after, self.write(vec![row])).await;
+        if !matches!(written, Ok(Ok(()))) {
+            tracing::debug!("ledger: a work unit is deferred, its record is not on disk in time");
+            // Whoever asks again is deferred as well until that is on record, and asks anew afterwards.
+            self.later(Record::Answered { wu, answer: kept(&come_back) });
+            self.later(Record::Forgotten { wu });
+            self.publish(wu, &joint, come_back.clone());
+            return Err(come_back);
+        }
+        spawn_local(self.clone().see_through(exchange.clone(), joint.clone(), last));
+        Ok(joint)
+    }
+
+    fn publish(&self, wu: WuId, joint: &Joint, answer: Answer) {
+        joint.answer.send_replace(Some(answer));
+        self.joints.borrow_mut().remove(&wu);
+    }
+
+    /// Waits for the answer, whoever still wants it, and tells it once it is on record.
+    async fn see_through(self: Rc<Self>, exchange: Rc<Exchange>, joint: Rc<Joint>, last: Instant) {
+        let wu = exchange.wu;
+        let answer = tokio::select! {
+            biased;
+            answer = exchange.answered() => answer,
+            () = sleep_until(last) => {
+                exchange.close();
+                let _ = self.events.send(Event::Left(wu)).await;
+                Answer::Aborted
+            }
+        };
+        let row = self.apply(Record::Answered { wu, answer: kept(&answer) });
+        let mut written = self.write(row.into_iter().collect()).await;
+        while written.is_err() {
+            sleep(WRITE_AGAIN).await;
+            written = self.write(Vec::new()).await;
+        }
+        self.publish(wu, &joint, answer);
+    }
+
+    /// The answer was written to a client.
+    pub fn acknowledged(&self, wu: WuId) {
+        self.later(Record::Acknowledged { wu });
+    }
+
+    async fn read(&self, wu: WuId) -> Result<Vec<Row>, String> {
+        let (tell, told) = oneshot::channel();
+        self.committer.read(wu, move |rows| _ = tell.send(rows));
+        told.await.unwrap_or_else(|_| Err("the ledger has ended".into()))
+    }
+
+    /// The answer on record; none where it cannot be read.
+    pub async fn recorded(&self, wu: WuId) -> Option<Answer> {
+        let rows = self.read(wu).await.inspect_err(|why| tracing::warn!("ledger: {why}")).ok()?;
+        rows.into_iter().find_map(|row| match row.record {
+            Record::Answered { answer, .. } => Some(answer_of(answer)),
+            _ => None,
+        })
+    }
+
+    /// An allocation about to be sent: once this ends well it is on disk, with its fence.
+    pub async fn lease(self: &Rc<Self>, wu: WuId, executor: &str, cut: Instant) -> Option<Lease> {
+        let now = self.now();
+        let until_cut = cut.saturating_duration_since(Instant::now()).as_secs_f64() * 1000.0;
+        let span = self.terms.lease.map_or(until_cut, |span| span.as_secs_f64() * 1000.0);
+        let (fence, number) = {
+            let ledger = self.ledger.borrow();
+            let known = ledger.wu(wu)?;
+            let may = known.may_allocate(now, self.most_allocs);
+            let fence = may.inspect_err(|why| tracing::warn!("ledger: not allocated: {why}")).ok()?;
+            (fence, known.allocations.len())
+        };
+        let lease_until = now + span;
+        let row = self.apply(Record::Allocated { wu, fence, executor: executor.into(), lease_until })?;
+        let mut unsent = Unsent(Some(Lease::new(self.clone(), wu, number, fence, now)));
+        self.write(vec![row]).await.ok()?;
+        unsent.0.take()
+    }
+
+    /// Takes up what is open from before, once the list is known: each goes to the one module with its earlier
+    /// allocations. What has no room waits for it.
+    pub async fn recover(self: Rc<Self>, mut stage: watch::Receiver<Stage>, held: Rc<HeldBytes>) {
+        let before = self.before.take();
+        if before.is_empty() || stage.wait_for(|stage| *stage != Stage::Starting).await.is_err() {
+            return;
+        }
+        let began = Instant::now();
+        for wu in &before {
+            if let Err(why) = self.take_up(*wu, &held).await {
+                tracing::warn!("ledger: work unit {} cannot be taken up, it is aborted: {why}", wu.0);
+                if let Some(row) = self.apply(Record::Answered { wu: *wu, answer: Kept::Aborted }) {
+                    let _ = self.write(vec![row]).await;
+                }
+                let joint = self.joint(*wu);
+                self.publish(*wu, &joint, Answer::Aborted);
+            }
+            self.to_recover.set(self.to_recover.get() - 1);
+        }
+        let took = began.elapsed().as_secs_f64() * 1000.0;
+        tracing::info!("{} open work units from before are taken up, in {took:.0} ms", before.len());
+    }
+
+    async fn take_up(self: &Rc<Self>, wu: WuId, held: &Rc<HeldBytes>) -> Result<(), String> {
+        let rows = self.read(wu).await?;
+        let taken = rows.iter().find_map(|row| match &row.record {
+            Record::Taken { id, key, limit, work, .. } => Some((id.clone(), key.clone(), *limit, work)),
+            _ => None,
+        });
+        let (id, key, limit, work) = taken.ok_or("its first record is missing")?;
+        let sent: Sent = postcard::from_bytes(work).map_err(|e| e.to_string())?;
+        let places = self.words.places_of(&sent.project_type, &sent.customer);
+        let (project_type, customer) =
+            places.ok_or_else(|| format!("project type `{}` is no longer known", sent.project_type))?;
+        let work = || Work {
+            id: id.clone(),
+            key: key.clone(),
+            method: sent.method.clone(),
+            target: sent.target.clone(),
+            fields: Bytes::copy_from_slice(&sent.fields),
+            body: Bytes::copy_from_slice(&sent.body),
+            project_type,
+            customer,
+            slots: sent.slots,
+            memory: sent.memory,
+            again: true,
+        };
+        let when = |limit: Millis| Instant::now() + spanned((limit - self.now()).clamp(0.0, 1e9));
+        let exchange = loop {
+            match Exchange::new(wu, work(), when(limit), held) {
+                Some(exchange) => break exchange,
+                None => sleep(ROOM_AGAIN).await,
+            }
+        };
+        let _ = exchange.durable.set(self.clone());
+        let earlier = {
+            let ledger = self.ledger.borrow();
+            let known = ledger.wu(wu).ok_or("it is not on record")?;
+            let of = |(number, a): (usize, &troutknot_ledger::Allocation)| Earlier {
+                executor: a.executor.clone(),
+                sent: a.at,
+                outcome: if a.fenced { Some(troutknot::Outcome::NotSent) } else { a.ended },
+                lease: Lease::new(self.clone(), wu, number, a.fence, a.at),
+            };
+            known.allocations.iter().enumerate().map(of).collect()
+        };
+        // What is past its limit already is answered by the module as well, a moment later.
+        let last = exchange.limit + self.limits.answer_margin + self.limits.connect_wait;
+        spawn_local(self.clone().see_through(exchange.clone(), self.joint(wu), last));
+        let _ = self.events.send(Event::Recovered(exchange, earlier)).await;
+        Ok(())
+    }
+
+    /// Forgets what was answered for as long as it is kept.
+    pub async fn forget(self: Rc<Self>) {
+        loop {
+            sleep(FORGET_EVERY).await;
+            let then = self.now() - self.terms.kept.as_secs_f64() * 1000.0;
+            let old = self.ledger.borrow().answered_before(then, MOST_FORGOTTEN);
+            for wu in old.into_iter().filter(|wu| !self.joints.borrow().contains_key(wu)) {
+                self.later(Record::Forgotten { wu });
+            }
+        }
+    }
+
+    /// What is on record of a work unit, by its client's id, as JSON; none where nothing is.
+    pub fn tell(&self, id: &str) -> Option<String> {
+        let ledger = self.ledger.borrow();
+        let wu = ledger.by_id(id)?;
+        let (known, now) = (ledger.wu(wu)?, self.now());
+        let standing = |standing: Standing| match standing {
+            Standing::Out => "out",
+            Standing::Unknown => "unknown",
+            Standing::NeverRan => "never-ran",
+            Standing::MayHaveRun => "may-have-run",
+            Standing::Completed => "completed",
+        };
+        let of = |a: &troutknot_ledger::Allocation| {
+            serde_json::json!({"fence": a.fence.0, "executor": a.executor, "at_ms": a.at,
+                "standing": standing(a.standing(now))})
+        };
+        let allocations: Vec<serde_json::Value> = known.allocations.iter().map(of).collect();
+        let state = match (known.answered, self.joints.borrow().contains_key(&wu)) {
+            (Some(_), false) => "answered",
+            _ if known.allocations.is_empty() => "taken",
+            _ => "allocated",
+        };
+        let told = serde_json::json!({"id": id, "state": state, "taken_ms": known.taken,
+            "limit_ms": known.limit, "answered_ms": known.answered, "acknowledged": known.acknowledged,
+            "allocations": allocations});
+        Some(format!("{told}\n"))
+    }
+
+    /// What is said beside the health.
+    pub fn said(&self) -> String {
+        let (ledger, mut said) = (self.ledger.borrow(), String::new());
+        let open = ledger.open().count();
+        let state = match self.committer.ready(self.terms.slow_after) {
+            Ok(()) => "ready".to_string(),
+            Err(why) => format!("new work is deferred: {why}"),
+        };
+        let _ = writeln!(said, "ledger: {state}; {} on record, {open} open", ledger.len());
+        if self.to_recover.get() > 0 {
+            let _ = writeln!(said, "ledger: {} from before still to be taken up", self.to_recover.get());
+        }
+        said
+    }
+}
+
+/// An allocation whose record is under way: given up before that is done, it was never sent.
+struct Unsent(Option<Lease>);
+
+impl Drop for Unsent {
+    fn drop(&mut self) {
+        if let Some(lease) = &self.0 {
+            lease.ended(troutknot::Outcome::NotSent);
+        }
+    }
+}
+
+fn spanned(millis: Millis) -> Duration {
+    Duration::from_secs_f64(millis / 1000.0)
+}
--- a/crates/daemon/src/events.rs
+++ b/crates/daemon/src/events.rs
@@ -1,12 +1,25 @@
 //! What the sides tell the driver, and nothing of how it is carried out.
+use crate::durable::Lease;
 use crate::exchange::Exchange;
 use crate::words::Entry;
 use std::rc::Rc;
-use troutknot::{Event as Heard, ListKind, WuId};
+use troutknot::{Event as Heard, ListKind, Millis, Outcome, WuId};
+
+/// An allocation of an earlier life of this node.
+pub struct Earlier {
+    /// By the name that the list gives it.
+    pub executor: String,
+    pub sent: Millis,
+    /// None where it is not known.
+    pub outcome: Option<Outcome>,
+    pub lease: Lease,
+}
 
 /// What the sides tell the driver.
 pub enum Event {
     Arrived(Rc<Exchange>),
+    /// One that is open from an earlier life, with its allocations in order.
+    Recovered(Rc<Exchange>, Vec<Earlier>),
     Left(WuId),
     /// What the dispatcher may be told as it is; whether an end closes the work unit is found here.
     Heard(Heard),
--- a/crates/daemon/src/exchange.rs
+++ b/crates/daemon/src/exchange.rs
@@ -1,8 +1,9 @@
 //! One work unit between the client that asked and the executors that may run it: the only place where the
 //! client side and the executor side meet.
+use crate::durable::Durable;
 use crate::held::HeldBytes;
 use bytes::Bytes;
-use std::cell::{Cell, RefCell};
+use std::cell::{Cell, OnceCell, RefCell};
 use std::rc::Rc;
 use tokio::sync::Notify;
 use tokio::time::Instant;
@@ -12,6 +13,8 @@
 pub struct Work {
     /// The id that the client gave, which goes on unchanged.
     pub id: String,
+    /// By which its client asks for it again, where it is taken durably.
+    pub key: Option<String>,
     pub method: String,
     pub target: String,
     /// The header lines that go on unchanged.
@@ -37,6 +40,8 @@
     pub work: Work,
     /// When it must have its final answer.
     pub limit: Instant,
+    /// Set where it is on record; each allocation is then recorded before it is sent.
+    pub durable: OnceCell<Rc<Durable>>,
     state: RefCell<State>,
     changed: Notify,
     over: Notify,
@@ -60,6 +65,7 @@
                 wu,
                 work,
                 limit,
+                durable: OnceCell::new(),
                 state: RefCell::new(State::Open),
                 changed: Notify::new(),
                 over: Notify::new(),
@@ -124,6 +130,10 @@
         self.told.notify_waiters();
     }
 
+    pub fn is_told(&self) -> bool {
+        self.why.get().is_some()
+    }
+
     /// Waits until it is told; it may be asked any number of times.
     pub async fn told(&self) -> Outcome {
         loop {
@@ -148,6 +158,7 @@
     let make = |bytes: usize| {
         let work = Work {
             id: "1".into(),
+            key: None,
             method: "POST".into(),
             target: "/".into(),
             fields: Bytes::new(),
--- a/crates/daemon/src/executors/mod.rs
+++ b/crates/daemon/src/executors/mod.rs
@@ -1,11 +1,12 @@
 //! The executor side: pooled connections, allocations and probes. It carries out what the driver says and
 //! tells it what came of it; what it may give a client goes into the exchange.
+use crate::durable::Lease;
 use crate::events::Event;
 use crate::exchange::{Answer, Exchange, Stop};
 use crate::held::HeldBytes;
 use crate::http1::{AnswerHead, Connection, Failed};
 use crate::limits::Limits;
-use crate::words::{self, Line, Vocabulary};
+use crate::words::{self, Fate, Line, Vocabulary};
 use bytes::BytesMut;
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
@@ -17,6 +18,17 @@
 use tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at};
 use troutknot::{AllocId, Event as Heard, ExecutorId, Outcome, Reading};
 
+/// An executor that does not tell yet what became of an allocation is asked again after so long.
+const FENCE_AGAIN: Duration = Duration::from_millis(50);
+
+/// Ends when an allocation on record has shown no sign of life for its lease.
+async fn run_out(lease: Option<&Lease>) {
+    match lease {
+        Some(lease) => lease.over().await,
+        None => std::future::pending().await,
+    }
+}
+
 pub struct Executors {
     pub limits: Rc<Limits>,
     pub words: Rc<Vocabulary>,
@@ -73,6 +85,8 @@
 pub struct Push {
     pub exchange: Rc<Exchange>,
     pub executor: ExecutorId,
+    /// Its name, where the allocation goes on record.
+    pub name: Option<String>,
     pub alloc: AllocId,
     pub decided: Instant,
     pub cut: Instant,
@@ -211,7 +225,15 @@
     /// Carries out a push and tells the driver its one outcome.
     pub async fn allocate(self: Rc<Self>, push: Push) {
         let host = self.host(push.executor);
-        let (outcome, rest) = self.run(&host, &push).await;
+        let mut lease = None;
+        let (mut outcome, rest) = self.run(&host, &push, &mut lease).await;
+        if let Some(lease) = &lease {
+            let may_have_run = !outcome.never_ran() && outcome != Outcome::Completed;
+            if may_have_run && !push.stop.is_told() {
+                outcome = self.fate(&host, &push.exchange, lease).await.unwrap_or(outcome);
+            }
+            lease.ended(outcome);
+        }
         let (wu, alloc) = (push.exchange.wu, push.alloc);
         // Whether that closes the work unit is the driver's to say.
         let ended = Heard::Ended { wu, alloc, outcome, closed: false };
@@ -226,7 +248,12 @@
     }
 
     /// The outcome, and the connection where its answer may still be read to the end.
-    async fn run(&self, host: &Host, push: &Push) -> (Outcome, Option<(Counted, AnswerHead)>) {
+    async fn run(
+        &self,
+        host: &Host,
+        push: &Push,
+        recorded: &mut Option<Lease>,
+    ) -> (Outcome, Option<(Counted, AnswerHead)>) {
         let exchange = &push.exchange;
         let most = self.limits.executors - (self.limits.executors / 16).max(1);
         // Guards against a send that was decided long before: while it connects, the grace of its executor
@@ -243,6 +270,22 @@
             Ok(connection) => connection,
             Err(outcome) => return (outcome, None),
         };
+        if let (Some(durable), Some(name)) = (exchange.durable.get(), &push.name) {
+            // Nothing of it is written before it is on record.
+            let lease = tokio::select! {
+                biased;
+                _ = push.stop.told() => None,
+                () = exchange.over() => None,
+                () = host.shut() => None,
+                () = sleep_until(push.cut) => None,
+                lease = durable.lease(exchange.wu, name, push.cut) => lease,
+            };
+            let Some(lease) = lease else {
+                self.put_back(host, connection);
+                return (Outcome::NotSent, None);
+            };
+            *recorded = Some(lease);
+        }
         let now = Instant::now();
         // Guards against a node that stood still: what it decided before may have been overtaken by news
         // that it has not read yet.
@@ -252,7 +295,8 @@
             return (Outcome::NotSent, None);
         }
         let addr = host.addr.get().expect("it was connected to");
-        let head = self.words.allocation(&exchange.work, addr, push.cut - now);
+        let told = recorded.as_ref().and_then(Lease::told_to_executor);
+        let head = self.words.allocation(&exchange.work, addr, push.cut - now, told);
         let parts: [&[u8]; 2] = [&head, &exchange.work.body];
         let written = tokio::select! {
             biased;
@@ -266,7 +310,8 @@
         }
         let read = tokio::select! {
             biased;
-            read = self.read(&mut connection, push) => read,
+            read = self.read(&mut connection, push, recorded.as_ref()) => read,
+            () = run_out(recorded.as_ref()) => Ok((Outcome::TimedOut, None)),
             why = push.stop.told() => Ok((why, None)),
             () = sleep_until(push.cut) => Ok((Outcome::TimedOut, None)),
         };
@@ -286,9 +331,11 @@
         &self,
         connection: &mut Connection,
         push: &Push,
+        lease: Option<&Lease>,
     ) -> Result<(Outcome, Option<AnswerHead>), Failed> {
         let (exchange, wu, alloc) = (&push.exchange, push.exchange.wu, push.alloc);
         let mut head = connection.answer_head().await?;
+        lease.iter().for_each(|lease| lease.beat(false));
         if let Some(outcome) = words::taken(&head) {
             return Ok((outcome, Some(head)));
         }
@@ -302,6 +349,7 @@
                     tracing::warn!("executor line not understood: {why}");
                     Failed::Ended
                 })?;
+                lease.iter().for_each(|lease| lease.beat(matches!(told, Line::Started | Line::Progress(_))));
                 match told {
                     Line::Started => {
                         let _ = self.events.try_send(Event::Heard(Heard::Started { wu, alloc }));
@@ -322,6 +370,64 @@
         }
     }
 
+    /// Finds out what became of an allocation of an earlier life, and tells the driver its one outcome.
+    pub async fn settle(
+        self: Rc<Self>,
+        exchange: Rc<Exchange>,
+        executor: ExecutorId,
+        alloc: AllocId,
+        lease: Lease,
+    ) {
+        let host = self.host(executor);
+        let outcome = self.fate(&host, &exchange, &lease).await.unwrap_or(Outcome::Reset);
+        lease.ended(outcome);
+        let ended = Heard::Ended { wu: exchange.wu, alloc, outcome, closed: false };
+        let _ = self.events.send(Event::Heard(ended)).await;
+    }
+
+    /// What an allocation came to that may have run, by its executor's word, as long as its work unit is open;
+    /// none where it does not know, or nobody can be asked. A lease that ran out frees nothing.
+    async fn fate(&self, host: &Host, exchange: &Exchange, lease: &Lease) -> Option<Outcome> {
+        if !lease.fences_known() {
+            return None;
+        }
+        loop {
+            let fate = tokio::select! {
+                biased;
+                () = exchange.over() => return None,
+                () = sleep_until(exchange.limit) => return None,
+                fate = timeout(self.limits.probe_wait, self.ask_fence(host, exchange, lease)) => fate.ok().flatten(),
+            };
+            match fate {
+                Some(Fate::Never) if lease.fenced() => return Some(Outcome::NoConnection),
+                Some(Fate::Done(result)) => {
+                    exchange.answer(Answer::Completed(result));
+                    return Some(Outcome::Completed);
+                }
+                Some(Fate::Never | Fate::Lost) => return None,
+                Some(Fate::Running) | None => {}
+            }
+            tokio::select! {
+                () = exchange.over() => return None,
+                () = sleep(FENCE_AGAIN) => {}
+            }
+        }
+    }
+
+    async fn ask_fence(&self, host: &Host, exchange: &Exchange, lease: &Lease) -> Option<Fate> {
+        let mut connection = self.connect(host, self.limits.executors).await.ok()?;
+        let ask = self.words.fence(&exchange.work.id, lease.fence, lease.age(), host.addr.get()?);
+        connection.write(&[&ask]).await.ok()?;
+        let mut head = connection.answer_head().await.ok()?;
+        let mut body = BytesMut::new();
+        connection.body(&mut head.body, &mut body, 2 * self.limits.body, false).await.ok()?;
+        let fate = words::fate(&head, &body);
+        if head.keep {
+            self.put_back(host, connection);
+        }
+        fate
+    }
+
     /// Probes an executor and tells the driver what came of it.
     pub async fn probe(self: Rc<Self>, executor: ExecutorId) {
         let (host, start) = (self.host(executor), Instant::now());
@@ -385,6 +491,7 @@
 
     fn exchange() -> Rc<Exchange> {
         let work = Work {
+            key: None,
             id: "1".into(),
             method: "POST".into(),
             target: "/render".into(),
@@ -438,6 +545,7 @@
             let decided = if by == NodeStoodStill { now - Duration::from_secs(6) } else { now };
             let stop = Rc::new(Stop::default());
             let push = Push {
+                name: None,
                 exchange: exchange.clone(),
                 executor: EXECUTOR,
                 alloc: AllocId(0),
--- a/crates/daemon/src/http1.rs
+++ b/crates/daemon/src/http1.rs
@@ -470,6 +470,7 @@
         408 => "Request Timeout",
         409 => "Conflict",
         413 => "Content Too Large",
+        422 => "Unprocessable Content",
         431 => "Request Header Fields Too Large",
         501 => "Not Implemented",
         502 => "Bad Gateway",
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -4,6 +4,7 @@
 mod clients;
 mod clock;
 mod driver;
+mod durable;
 mod events;
 mod exchange;
 mod executors;
@@ -20,6 +21,7 @@
 use clients::Clients;
 use clock::Clock;
 use driver::Driver;
+use durable::Durable;
 use events::Event;
 use executors::Executors;
 use limits::{Limits, Stated};
@@ -117,6 +119,7 @@
         drain_grace: span("rules.drain_grace"),
         longest: words.longest(),
         consul: file.lists.sources.contains(&Source::Consul),
+        durable: file.durable.is_some(),
     }));
     let mut terminate = signal(SignalKind::terminate()).map_err(|e| format!("no signals: {e}"))?;
     let mut interrupt = signal(SignalKind::interrupt()).map_err(|e| format!("no signals: {e}"))?;
@@ -130,7 +133,18 @@
     let follow = Rc::new(Notify::new());
     let executors = Executors::new(limits.clone(), words.clone(), events.clone());
     let status: Rc<RefCell<String>> = Rc::default();
-    let clients = Clients::new(limits.clone(), words.clone(), events.clone(), staged, status.clone());
+    let durable = match file.durable.clone() {
+        Some(terms) => Some(Durable::start(terms, &limits, clock, &words, &values, &events)?),
+        None => None,
+    };
+    let clients = Clients::new(
+        limits.clone(),
+        words.clone(),
+        events.clone(),
+        staged.clone(),
+        status.clone(),
+        durable.clone(),
+    );
     let dispatcher = Dispatcher::new(values, seed, clock.now());
     let mut driver =
         Driver::new(dispatcher, clock, words.clone(), executors.clone(), follow.clone(), told_events, stage);
@@ -173,6 +187,10 @@
             }
         }
     }
+    if let Some(durable) = durable {
+        spawn_local(durable.clone().recover(staged, clients.held.clone()));
+        spawn_local(durable.forget());
+    }
     spawn_local(executors.retire_idle());
     spawn_local(clients.clone().accept(listener));
     let stage = driver.stage.clone();
--- a/crates/daemon/src/limits.rs
+++ b/crates/daemon/src/limits.rs
@@ -14,6 +14,8 @@
     pub longest: Duration,
     /// Whether the list comes from Consul: its answers are large, and more is kept of each executor.
     pub consul: bool,
+    /// Whether work units are taken durably: what is on record is kept in mind.
+    pub durable: bool,
 }
 
 #[derive(Clone, Debug)]
@@ -27,6 +29,8 @@
     pub slow_bodies: usize,
     /// What clients sent for open work units, all together.
     pub held_bytes: usize,
+    /// Durable work units on record, where there are any.
+    pub durable: usize,
     /// One line of the list.
     pub list_line: usize,
     /// One answer of Consul, where it is followed.
@@ -91,6 +95,9 @@
 /// Log lines that may wait to be written; more are dropped. The log starts before a node is told anything.
 pub const LOG_LINES: usize = 1024;
 
+/// What is kept in mind of a durable work unit; its row in the map, its id and key, an allocation or two.
+pub const DURABLE_BYTES: usize = 800;
+
 const MOST_TO_END: Duration = Duration::from_secs(3);
 
 impl Limits {
@@ -114,7 +121,8 @@
             client_rings: of(12, 16),
             body,
             slow_bodies: memory / 16 / body,
-            held_bytes: of(6, 12),
+            held_bytes: if stated.durable { of(12, 18) } else { of(6, 12) },
+            durable: memory / 14 / DURABLE_BYTES,
             list_line: (memory / 32).min(8 * 1024 * 1024),
             list_answer: (memory / 9).min(12 * 1024 * 1024),
             known: of(12_288, 9600),
@@ -157,8 +165,9 @@
 #[test]
 fn connections_and_memory_stay_within_what_is_stated() {
     let sizes = [(192, 1024), (16, 64), (64, 100_000), (2048, 4096), (32, 1024), (48, 1024), (0, 0)];
-    for ((memory_mb, sockets), consul) in sizes.into_iter().flat_map(|size| [(size, false), (size, true)]) {
-        let l = Limits::of(&Stated { memory_mb, sockets, consul, ..Stated::default() });
+    let each = |size| [(false, false), (true, false), (false, true), (true, true)].map(|with| (size, with));
+    for ((memory_mb, sockets), (consul, durable)) in sizes.into_iter().flat_map(each) {
+        let l = Limits::of(&Stated { memory_mb, sockets, consul, durable, ..Stated::default() });
         let connections = l.clients + l.turned_away + l.executors;
         assert!(connections as u64 + SPARE <= sockets.max(64), "{l:?}");
         // Open work units, bodies on their way in, results; rings; ids, a list, and the executors known.
@@ -168,6 +177,7 @@
         let held = bodies
             + rings
             + l.past_ids * 24
+            + if durable { l.durable * DURABLE_BYTES } else { 0 }
             + if consul { l.list_answer + l.known * 1600 } else { l.list_line + l.known * 640 };
         assert!(held <= memory_mb.max(16) as usize * 1024 * 1024 * 9 / 10, "{held} {l:?}");
         assert!(l.clients > 0 && l.turned_away > 0 && l.executors > 0);
--- a/crates/daemon/src/operator.rs
+++ b/crates/daemon/src/operator.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::time::Duration;
+use troutknot::Effect;
 use troutknot_consul::blocking::{Consistency, Pace, Watched};
 use troutknot_consul::roster::{Damping, Panic, Terms};
 
@@ -16,6 +17,87 @@
 #[serde(deny_unknown_fields, default)]
 pub struct OperatorFile {
     pub lists: Lists,
+    pub durable: Option<Durably>,
+}
+
+/// When the ledger syncs.
+#[derive(Deserialize, Clone, Copy, Debug, PartialEq, Eq, Default)]
+#[serde(rename_all = "kebab-case")]
+pub enum Syncs {
+    /// Once for all that wait.
+    #[default]
+    Together,
+    /// For each record that is waited for.
+    Each,
+}
+
+/// An effect whose work units are taken durably, also where no client asks for it.
+#[derive(Deserialize, Clone, Copy, Debug, PartialEq, Eq)]
+#[serde(rename_all = "kebab-case")]
+pub enum Taken {
+    Rerunnable,
+    Receipted,
+    Exclusive,
+}
+
+/// Durable work units; read at the start alone.
+#[derive(Deserialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct Durably {
+    /// The ledger's file.
+    pub path: PathBuf,
+    #[serde(default = "taken")]
+    pub effects: Vec<Taken>,
+    /// The header in which clients give their idempotency key.
+    #[serde(default = "key_header")]
+    pub key_header: String,
+    /// What was answered is kept so long, and its key with it.
+    #[serde(default = "kept", with = "humantime_serde")]
+    pub kept: Duration,
+    #[serde(default)]
+    pub sync: Syncs,
+    /// New durable work is deferred while a sync takes longer.
+    #[serde(default = "slow_after", with = "humantime_serde")]
+    pub slow_after: Duration,
+    /// Work units on record, open ones and those that are kept; the memory may allow fewer.
+    #[serde(default = "most_on_record")]
+    pub most: usize,
+    /// Without a sign of life for so long an allocation is unknown; none where executors tell no progress.
+    #[serde(default, with = "humantime_serde")]
+    pub lease: Option<Duration>,
+    /// Whether executors know fences.
+    #[serde(default)]
+    pub fences: bool,
+}
+
+impl Durably {
+    pub fn takes(&self, effect: Effect) -> bool {
+        self.effects.contains(&match effect {
+            Effect::Rerunnable => Taken::Rerunnable,
+            Effect::Receipted => Taken::Receipted,
+            Effect::Exclusive => Taken::Exclusive,
+        })
+    }
+}
+
+fn taken() -> Vec<Taken> {
+    vec![Taken::Exclusive]
+}
+
+fn key_header() -> String {
+    "Idempotency-Key".into()
+}
+
+fn kept() -> Duration {
+    Duration::from_secs(600)
+}
+
+fn slow_after() -> Duration {
+    Duration::from_millis(250)
+}
+
+fn most_on_record() -> usize {
+    10_000
 }
 
 /// A source of the list of executors.
@@ -202,6 +284,19 @@
             let ordered = d.reuse > 0.0 && d.cutoff >= d.reuse && d.cutoff <= 100.0;
             must(ordered, "`lists.consul.damping` needs 0 < `reuse` <= `cutoff` <= 100");
         }
+        if let Some(d) = &self.durable {
+            let within = |span: Duration, least: f64, most: f64| (least..=most).contains(&span.as_secs_f64());
+            must(!d.path.as_os_str().is_empty(), "`durable.path` is empty");
+            let token = |b: u8| b.is_ascii_alphanumeric() || b"!#$%&'*+-.^_`|~".contains(&b);
+            let name = &d.key_header;
+            let fits = (1..=64).contains(&name.len()) && name.bytes().all(token);
+            must(fits, "`durable.key_header` must be a header's name of 1 to 64 bytes");
+            must(within(d.kept, 0.1, 7.0 * 86400.0), "`durable.kept` must be 100ms to 7days");
+            must(within(d.slow_after, 0.01, 60.0), "`durable.slow_after` must be 10ms to 1m");
+            must((1..=1_000_000).contains(&d.most), "`durable.most` must be 1 to 1000000");
+            let lease = d.lease.is_none_or(|lease| within(lease, 0.1, 3600.0));
+            must(lease, "`durable.lease` must be 100ms to 1h");
+        }
         faults
     }
 }
--- a/crates/daemon/src/words.rs
+++ b/crates/daemon/src/words.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 use troutknot::*;
 use troutknot_hosting::{LoadFields, named_reading, token};
+use troutknot_ledger::Fence;
 
 const ID: &str = "Request-Id";
 const TYPE: &str = "Request-Class";
@@ -18,10 +19,21 @@
 const FIGURES: &str = "Request-Info";
 const REPORT: &str = "Server-Load";
 const NEVER_RAN: &str = "Not-Started";
+/// The number of an allocation among those of its work unit; an executor that knows it refuses a lower one.
+const FENCE: &str = "Work-Fence";
+/// How long ago the allocation was recorded that is asked for, in milliseconds.
+const FENCE_AGE: &str = "Work-Fence-Age";
+/// How long an executor may be silent, in milliseconds.
+const LEASE: &str = "Work-Lease";
+/// The longest idempotency key.
+const MOST_KEY: usize = 255;
 
 pub const READY_PATH: &str = "/_health";
 const PROBE_PATH: &str = "/ping";
 const REPORT_PATH: &str = "/_load";
+const FENCE_PATH: &str = "/_fence";
+/// What is on record of a work unit, by its client's id.
+pub const TELL_PATH: &str = "/_work/";
 const LIST_PATH: &str = "/catalog/members";
 
 /// Fields that concern one connection alone, or that this node writes itself.
@@ -38,6 +50,9 @@
     "host",
     "request-id",
     "request-timeout",
+    "work-fence",
+    "work-fence-age",
+    "work-lease",
 ];
 
 /// The names that the settings give to numbers.
@@ -144,6 +159,7 @@
         }
         let work = Work {
             id,
+            key: None,
             method: head.method.clone(),
             target: head.target.clone(),
             fields: fields.freeze(),
@@ -173,13 +189,49 @@
         wait.map(|w| ("Retry-After", told(w))).into_iter().collect()
     }
 
+    /// The names of a work unit's project type and customer.
+    pub fn names_of(&self, work: &Work) -> (String, String) {
+        let name = |names: &[String], k: u32| names.get(k as usize).cloned().unwrap_or_default();
+        (name(&self.project_types, work.project_type.0), name(&self.customers, work.customer.0))
+    }
+
+    /// What such names stand for now; none where the project type is not known.
+    pub fn places_of(&self, project_type: &str, customer: &str) -> Option<(ProjectTypeId, CustomerId)> {
+        let project_type = place_of(project_type, &self.project_types)?;
+        let customer = place_of(customer, &self.customers).unwrap_or(0);
+        Some((ProjectTypeId(project_type), CustomerId(customer)))
+    }
+
+    /// The question what became of an allocation that was recorded so long ago, which from then on is refused.
+    pub fn fence(&self, id: &str, fence: Fence, age: Millis, to: SocketAddr) -> BytesMut {
+        let mut out = BytesMut::with_capacity(192);
+        out.extend_from_slice(format!("POST {FENCE_PATH} HTTP/1.1\r\n").as_bytes());
+        http1::field(&mut out, "Host", to.to_string());
+        http1::field(&mut out, ID, id);
+        http1::field(&mut out, FENCE, fence.0.to_string());
+        http1::field(&mut out, FENCE_AGE, format!("{age:.0}"));
+        http1::field(&mut out, "Content-Length", "0");
+        out.extend_from_slice(b"\r\n");
+        out
+    }
+
     /// The head that hands a work unit to an executor, which hears how long this node will wait.
-    pub fn allocation(&self, work: &Work, to: SocketAddr, wait: Duration) -> BytesMut {
+    pub fn allocation(
+        &self,
+        work: &Work,
+        to: SocketAddr,
+        wait: Duration,
+        lease: Option<(u64, Option<Millis>)>,
+    ) -> BytesMut {
         let mut out = BytesMut::with_capacity(256 + work.fields.len());
         out.extend_from_slice(format!("{} {} HTTP/1.1\r\n", work.method, work.target).as_bytes());
         http1::field(&mut out, "Host", to.to_string());
         out.extend_from_slice(&work.fields);
         http1::field(&mut out, PATIENCE, format!("{:.3}", wait.as_secs_f64()));
+        if let Some((fence, span)) = lease {
+            http1::field(&mut out, FENCE, fence.to_string());
+            span.iter().for_each(|span| http1::field(&mut out, LEASE, format!("{span:.0}")));
+        }
         http1::field(&mut out, "Content-Length", work.body.len().to_string());
         out.extend_from_slice(b"\r\n");
         out
@@ -235,6 +287,44 @@
     }
 }
 
+/// The idempotency key of a request; none where its header is missing.
+///
+/// # Errors
+/// The status, and why it is none.
+pub fn key(head: &RequestHead, header: &str) -> Result<Option<String>, (u16, &'static str)> {
+    let Some(key) = head.headers.one(header).map_err(|_| (400, "odd key"))? else { return Ok(None) };
+    let fits = (1..=MOST_KEY).contains(&key.len()) && key.bytes().all(|b| b.is_ascii_graphic() || b == b' ');
+    if fits { Ok(Some(key.to_string())) } else { Err((400, "a key has 1 to 255 printable bytes")) }
+}
+
+/// What an executor says of an allocation that it was asked for.
+#[derive(Debug, PartialEq)]
+pub enum Fate {
+    /// It has not run, and never will.
+    Never,
+    Running,
+    Done(Bytes),
+    /// It may have run.
+    Lost,
+}
+
+/// Reads such an answer; none where it is not one.
+pub fn fate(head: &AnswerHead, body: &[u8]) -> Option<Fate> {
+    #[derive(Deserialize)]
+    struct Fields {
+        state: String,
+        result: Option<String>,
+    }
+    let fields: Fields = serde_json::from_slice(body).ok().filter(|_| head.status == 200)?;
+    match fields.state.as_str() {
+        "never" => Some(Fate::Never),
+        "running" => Some(Fate::Running),
+        "done" => fields.result.map(|result| Fate::Done(result.into())),
+        // A word that is not known is taken for the strictest.
+        _ => Some(Fate::Lost),
+    }
+}
+
 /// Takes the next line that is not empty; at the end of the text also one that lacks its line feed.
 pub fn next_line(text: &mut BytesMut, ended: bool) -> Option<BytesMut> {
     loop {
@@ -308,6 +398,14 @@
     pub started_ms: Option<f64>,
 }
 
+impl Entry {
+    /// One that is known by its name alone.
+    pub fn gone(id: &str) -> Self {
+        let (id, addr, state) = (id.into(), String::new(), "Gone".into());
+        Entry { id, addr, zone: None, kind: None, cell: None, state, weight: None, started_ms: None }
+    }
+}
+
 #[cfg(test)]
 impl Entry {
     pub fn of(id: &str, addr: &str, state: &str) -> Self {
--- a/crates/emulator/src/executors.rs
+++ b/crates/emulator/src/executors.rs
@@ -66,6 +66,23 @@
     Down,
 }
 
+/// What an executor that knows fences keeps of a work unit, by its id, until it starts anew.
+#[derive(Default)]
+struct Fenced {
+    /// The highest number that came, or was asked for; one that is not higher is refused.
+    highest: u64,
+    /// Of the allocation that was taken last.
+    taken: Option<(u64, Fate)>,
+}
+
+#[derive(Clone, PartialEq)]
+enum Fate {
+    Waiting(Key),
+    Running,
+    Done(String),
+    Lost,
+}
+
 /// An allocation that was taken and not answered yet.
 struct Out {
     id: String,
@@ -84,6 +101,9 @@
     door: watch::Sender<Door>,
     changed: Notify,
     out: RefCell<HashMap<Key, Out>>,
+    fenced: RefCell<HashMap<String, Fenced>>,
+    /// Ids of fenced allocations that have not ended.
+    fenced_out: RefCell<HashMap<Key, String>>,
     lines: RefCell<Vec<Weak<Line>>>,
 }
 
@@ -112,6 +132,8 @@
             door: watch::channel(Door::Open).0,
             changed: Notify::new(),
             out: RefCell::default(),
+            fenced: RefCell::default(),
+            fenced_out: RefCell::default(),
             lines: RefCell::default(),
         });
         host.note(Seen::ExecutorUp { executor: number });
@@ -185,6 +207,9 @@
     }
 
     fn reset_all(&self) {
+        // It starts with an empty memory.
+        self.fenced.borrow_mut().clear();
+        self.fenced_out.borrow_mut().clear();
         let lines = std::mem::take(&mut *self.lines.borrow_mut());
         lines.iter().filter_map(Weak::upgrade).for_each(|line| line.cut(Cut::Reset));
     }
@@ -219,6 +244,7 @@
             };
             match output {
                 Output::Started { key } => {
+                    self.fate(&key, |_| Fate::Running);
                     note(Seen::Started { alloc: key.0 });
                     if self.shared.tells {
                         say(&key, &|id| json!({"id": id, "from": self.name, "state": "started"}));
@@ -229,6 +255,11 @@
                 }
                 Output::Ended { key, end } => {
                     note(Seen::Ended { alloc: key.0, end });
+                    self.fate(&key, |id| match end {
+                        End::Done => Fate::Done(result_of(id)),
+                        _ => Fate::Lost,
+                    });
+                    self.fenced_out.borrow_mut().remove(&key);
                     let end = |id: &str| match end {
                         End::Done => {
                             json!({"id": id, "from": self.name, "state": "done", "result": result_of(id)})
@@ -255,6 +286,45 @@
         }
     }
 
+    /// Keeps what became of a fenced allocation.
+    fn fate(&self, key: &Key, fate: impl Fn(&str) -> Fate) {
+        if let Some(id) = self.fenced_out.borrow().get(key)
+            && let Some(Fenced { taken: Some((_, was)), .. }) = self.fenced.borrow_mut().get_mut(id)
+        {
+            *was = fate(id);
+        }
+    }
+
+    /// What became of an allocation that was recorded so long ago; what had not begun never does from now on.
+    fn ask_fence(&self, id: &str, fence: u64, age: Millis) -> serde_json::Value {
+        let mut known = self.fenced.borrow_mut();
+        let of = known.entry(id.to_string()).or_default();
+        of.highest = of.highest.max(fence);
+        let waits = match &of.taken {
+            Some((number, Fate::Waiting(key))) if *number <= fence => Some(*key),
+            _ => None,
+        };
+        if let Some(key) = waits {
+            of.taken = None;
+            self.fenced_out.borrow_mut().remove(&key);
+            drop(known);
+            self.note(Seen::NeverRan { alloc: key.0 });
+            self.out.borrow_mut().remove(&key);
+            self.model.borrow_mut().cancel(self.now(), key);
+            self.changed.notify_one();
+            return json!({"state": "never"});
+        }
+        match &of.taken {
+            // Another life of this executor may have had it.
+            None if self.now() - self.started() < age => json!({"state": "unknown"}),
+            None => json!({"state": "never"}),
+            Some((number, _)) if *number > fence => json!({"state": "lost"}),
+            Some((_, Fate::Waiting(_) | Fate::Running)) => json!({"state": "running"}),
+            Some((_, Fate::Done(result))) => json!({"state": "done", "result": result}),
+            Some((_, Fate::Lost)) => json!({"state": "lost"}),
+        }
+    }
+
     async fn let_time_pass(self: Rc<Self>) {
         loop {
             let next = self.model.borrow().next_at();
@@ -373,6 +443,15 @@
         else {
             return status(404, String::new());
         };
+        let number =
+            |name: &str| request.headers().get(name).and_then(|v| v.to_str().ok()?.parse::<f64>().ok());
+        let fence = number("work-fence").filter(|n| *n >= 1.0).map(|n| n as u64);
+        if request.uri().path() == "/_fence" {
+            let Some((fence, age)) = fence.zip(number("work-fence-age")) else {
+                return status(400, String::new());
+            };
+            return status(200, self.ask_fence(&id, fence, age).to_string());
+        }
         let named = request.headers().get("work-millis").and_then(|v| v.to_str().ok()?.parse::<f64>().ok());
         if Limited::new(request.into_body(), MOST_BODY).collect().await.is_err() {
             return status(413, String::new());
@@ -381,6 +460,11 @@
             self.note(Seen::Unknown { executor: self.number, id: id.into() });
             return status(400, String::new());
         };
+        let turned_away = || {
+            let mut answer = status(503, String::new());
+            answer.headers_mut().insert("not-started", hyper::header::HeaderValue::from_static("1"));
+            answer
+        };
         let alloc = self.shared.next_alloc.get();
         self.shared.next_alloc.set(alloc + 1);
         let key = Key(alloc);
@@ -401,15 +485,32 @@
             slots: offer.slots,
             work: offer.work,
         });
+        if let Some(fence) = fence {
+            let mut known = self.fenced.borrow_mut();
+            let of = known.entry(id.clone()).or_default();
+            if fence <= of.highest {
+                drop(known);
+                self.note(Seen::NeverRan { alloc });
+                return turned_away();
+            }
+            of.highest = fence;
+            of.taken = Some((fence, Fate::Waiting(key)));
+            self.fenced_out.borrow_mut().insert(key, id.clone());
+        }
         let verdict = self.model.borrow_mut().offer(self.now(), offer);
+        if verdict != Verdict::Taken && fence.is_some() {
+            let never = verdict == Verdict::TurnedAway;
+            self.fenced_out.borrow_mut().remove(&key);
+            if let Some(of) = self.fenced.borrow_mut().get_mut(&id) {
+                of.taken = of.taken.take().filter(|_| !never).map(|(fence, _)| (fence, Fate::Lost));
+            }
+        }
         match verdict {
             Verdict::Taken => {}
             Verdict::TurnedAway => {
                 self.note(Seen::NeverRan { alloc });
                 self.after_a_change();
-                let mut answer = status(503, String::new());
-                answer.headers_mut().insert("not-started", hyper::header::HeaderValue::from_static("1"));
-                return answer;
+                return turned_away();
             }
             Verdict::Error => {
                 self.note(Seen::Errored { alloc });
@@ -441,6 +542,10 @@
     /// Whoever sent it has ended the connection.
     fn given_up(&self, key: Key) {
         self.note(Seen::GivenUp { alloc: key.0 });
+        if self.fenced_out.borrow().contains_key(&key) {
+            // Whoever sent it will ask what became of it.
+            return;
+        }
         self.model.borrow_mut().cancel(self.now(), key);
         self.changed.notify_one();
     }
--- a/crates/emulator/src/scripted.rs
+++ b/crates/emulator/src/scripted.rs
@@ -90,6 +90,10 @@
     pub go_on: UnboundedSender<()>,
     /// Cut off: connections come up and stay open, and nothing is ever said.
     pub mute: Arc<AtomicBool>,
+    /// What it answers when it is asked for an allocation, the last one for ever; "never" where there is none.
+    pub fates: Arc<Mutex<VecDeque<serde_json::Value>>>,
+    /// The questions that came.
+    pub asked: Arc<Mutex<Vec<Message>>>,
 }
 
 #[derive(Clone)]
@@ -98,6 +102,8 @@
     seen: Arc<Mutex<Vec<Message>>>,
     wait: Arc<Turn<UnboundedReceiver<()>>>,
     mute: Arc<AtomicBool>,
+    fates: Arc<Mutex<VecDeque<serde_json::Value>>>,
+    asked: Arc<Mutex<Vec<Message>>>,
 }
 
 impl Executor {
@@ -108,7 +114,10 @@
             seen: Arc::default(),
             wait: Arc::new(Turn::new(wait)),
             mute: Arc::default(),
+            fates: Arc::default(),
+            asked: Arc::default(),
         };
+        let (fates, asked) = (script.fates.clone(), script.asked.clone());
         let (acts, seen, mute) = (script.acts.clone(), script.seen.clone(), script.mute.clone());
         let addr = serve_on_a_thread(move || {
             move |request, line| {
@@ -116,7 +125,7 @@
                 async move { script.answer(request, line).await }
             }
         });
-        Executor { addr, acts, seen, go_on, mute }
+        Executor { addr, acts, seen, go_on, mute, fates, asked }
     }
 
     /// Waits until so many allocations have come.
@@ -142,7 +151,14 @@
         }
         let id =
             request.headers().get("request-id").and_then(|id| id.to_str().ok()).unwrap_or("").to_string();
+        let asks = request.uri().path() == "/_fence";
         let Some(message) = message(request).await else { return status(400) };
+        if asks {
+            self.asked.lock().unwrap().push(message);
+            let mut fates = self.fates.lock().unwrap();
+            let next = if fates.len() > 1 { fates.pop_front() } else { fates.front().cloned() };
+            return Response::new(Lines::whole(next.unwrap_or(json!({"state": "never"})).to_string()));
+        }
         // The act is chosen before the test can see the allocation, so that it may list the next one.
         let act = self.acts.lock().unwrap().pop_front().unwrap_or(Act::Done);
         self.seen.lock().unwrap().push(message);
--- a/crates/hosting/src/lib.rs
+++ b/crates/hosting/src/lib.rs
@@ -54,6 +54,11 @@
         (self.names.len() < most || self.numbers.contains_key(name)).then(|| self.of(name))
     }
 
+    /// Whether a name has a number.
+    pub fn knows(&self, name: &str) -> bool {
+        self.numbers.contains_key(name)
+    }
+
     pub fn all(&self) -> impl Iterator<Item = ExecutorId> + use<> {
         (0..self.names.len() as u32).map(ExecutorId)
     }
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -5,58 +5,125 @@
 //!
 //! A lease that has run out makes an allocation *unknown*, never free: exclusive work gets another only once every
 //! earlier one is known not to have run, by its outcome or by its executor's word that it refuses the fence.
-use std::collections::BTreeMap;
+pub mod codec;
+pub mod committer;
+pub mod store;
+
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use troutknot::{AllocId, Effect, Millis, Outcome, WuId};
 
 /// A number that grows with every allocation of a work unit; an executor that knows fences refuses a lower one.
-#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Debug)]
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Debug, Serialize, Deserialize)]
 pub struct Fence(pub u64);
 
-/// One thing that is on record.
-#[derive(Clone, PartialEq, Debug)]
+/// A fingerprint of what a client asked, by which a key with another body is told.
+pub type Digest = [u8; 32];
+
+/// The final answer as it is kept.
+#[derive(Clone, PartialEq, Debug, Serialize, Deserialize)]
+pub enum Answer {
+    Completed(Vec<u8>),
+    Deferred(Option<Millis>),
+    Aborted,
+}
+
+/// One thing that is on record. New kinds come last: their places are what is on disk.
+#[derive(Clone, PartialEq, Debug, Serialize, Deserialize)]
 pub enum Record {
     Taken {
+        #[serde(with = "codec::WuIdDef")]
         wu: WuId,
+        #[serde(with = "codec::EffectDef")]
         effect: Effect,
+        /// When it must have its final answer.
         limit: Millis,
+        /// The id that its client gave, and the idempotency key.
+        id: String,
+        key: Option<String>,
+        digest: Digest,
+        /// What is needed to send it, as the caller writes it.
+        work: Vec<u8>,
     },
     /// On record before its first byte is sent.
     Allocated {
+        #[serde(with = "codec::WuIdDef")]
         wu: WuId,
         fence: Fence,
         executor: String,
         lease_until: Millis,
     },
     Started {
+        #[serde(with = "codec::WuIdDef")]
         wu: WuId,
+        #[serde(with = "codec::AllocIdDef")]
         alloc: AllocId,
     },
     /// A sign of life: the lease holds longer.
     Heartbeat {
+        #[serde(with = "codec::WuIdDef")]
         wu: WuId,
+        #[serde(with = "codec::AllocIdDef")]
         alloc: AllocId,
         lease_until: Millis,
     },
     Ended {
+        #[serde(with = "codec::WuIdDef")]
         wu: WuId,
+        #[serde(with = "codec::AllocIdDef")]
         alloc: AllocId,
+        #[serde(with = "codec::OutcomeDef")]
         outcome: Outcome,
     },
     /// The executor confirms that it has not run this fence, and never will.
     Fenced {
+        #[serde(with = "codec::WuIdDef")]
         wu: WuId,
+        #[serde(with = "codec::AllocIdDef")]
         alloc: AllocId,
     },
     /// The client's final answer, on record before it is sent.
     Answered {
+        #[serde(with = "codec::WuIdDef")]
+        wu: WuId,
+        answer: Answer,
+    },
+    /// The answer was written to a client whole.
+    Acknowledged {
+        #[serde(with = "codec::WuIdDef")]
         wu: WuId,
     },
     /// Nothing is kept of it any longer.
     Forgotten {
+        #[serde(with = "codec::WuIdDef")]
         wu: WuId,
     },
 }
 
+impl Record {
+    pub fn wu(&self) -> WuId {
+        match self {
+            Record::Taken { wu, .. }
+            | Record::Allocated { wu, .. }
+            | Record::Started { wu, .. }
+            | Record::Heartbeat { wu, .. }
+            | Record::Ended { wu, .. }
+            | Record::Fenced { wu, .. }
+            | Record::Answered { wu, .. }
+            | Record::Acknowledged { wu }
+            | Record::Forgotten { wu } => *wu,
+        }
+    }
+}
+
+/// A record with when it was made, and how many of its work unit came before it.
+#[derive(Clone, PartialEq, Debug)]
+pub struct Row {
+    pub at: Millis,
+    pub place: u32,
+    pub record: Record,
+}
+
 /// Why a record does not follow from those before it.
 #[derive(Clone, Copy, PartialEq, Eq, Debug, thiserror::Error)]
 pub enum Broken {
@@ -76,6 +143,10 @@
     Fence,
     #[error("the work unit is open")]
     Open,
+    #[error("the key was taken before")]
+    KeyTwice,
+    #[error("records before it are missing")]
+    Missing,
 }
 
 /// Why a work unit may not be allocated now.
@@ -106,10 +177,12 @@
 pub struct Allocation {
     pub fence: Fence,
     pub executor: String,
+    /// When it was recorded.
+    pub at: Millis,
     pub lease_until: Millis,
     pub started: bool,
-    ended: Option<Outcome>,
-    fenced: bool,
+    pub ended: Option<Outcome>,
+    pub fenced: bool,
 }
 
 impl Allocation {
@@ -128,9 +201,17 @@
 #[derive(Clone, PartialEq, Debug)]
 pub struct Wu {
     pub effect: Effect,
+    pub taken: Millis,
     pub limit: Millis,
+    pub id: String,
+    pub key: Option<String>,
+    pub digest: Digest,
     pub allocations: Vec<Allocation>,
-    pub answered: bool,
+    /// When its final answer was recorded.
+    pub answered: Option<Millis>,
+    pub acknowledged: bool,
+    /// How many records it has.
+    pub rows: u32,
 }
 
 impl Wu {
@@ -158,51 +239,142 @@
     }
 }
 
-/// All work units on record.
+/// All work units on record. What they asked and were answered is not kept here, only on disk.
 #[derive(Clone, PartialEq, Debug)]
 pub struct Ledger {
     wus: BTreeMap<WuId, Wu>,
+    by_id: HashMap<String, WuId>,
+    by_key: HashMap<String, WuId>,
+    /// Those that are answered, by when.
+    ended: BTreeSet<(u64, WuId)>,
     most: usize,
+    last: Millis,
+    next: u64,
 }
 
 impl Ledger {
     /// Empty; each work unit may be allocated `most` times.
     pub fn new(most: usize) -> Self {
-        Ledger { wus: BTreeMap::new(), most }
+        Ledger {
+            wus: BTreeMap::new(),
+            by_id: HashMap::new(),
+            by_key: HashMap::new(),
+            ended: BTreeSet::new(),
+            most,
+            last: 0.0,
+            next: 0,
+        }
     }
 
-    /// What records say, up to the first that does not follow, which is named by its place.
-    pub fn recover(most: usize, records: &[Record]) -> (Self, Option<(usize, Broken)>) {
+    /// What rows say, up to the first that does not follow, which is named by its place among them. Those of one
+    /// work unit stand in their order.
+    pub fn recover<'a>(
+        most: usize,
+        rows: impl IntoIterator<Item = &'a Row>,
+    ) -> (Self, Option<(usize, Broken)>) {
         let mut ledger = Ledger::new(most);
-        for (place, record) in records.iter().enumerate() {
-            // Whether the lease before it had run out is not asked again: it was when it was written.
-            if let Err(why) = ledger.apply(f64::INFINITY, record) {
+        for (place, row) in rows.into_iter().enumerate() {
+            if let Err(why) = ledger.restore(row) {
                 return (ledger, Some((place, why)));
             }
         }
         (ledger, None)
     }
 
+    /// Adds a row that was written in an earlier life.
+    ///
+    /// # Errors
+    /// As [`Ledger::apply`], and where rows before it are missing.
+    pub fn restore(&mut self, row: &Row) -> Result<(), Broken> {
+        let before = self.wus.get(&row.record.wu()).map_or(0, |wu| wu.rows);
+        if row.place != before {
+            return Err(Broken::Missing);
+        }
+        // Whether the lease before it had run out is not asked again: it was when it was written.
+        self.add(f64::INFINITY, row.at, &row.record)?;
+        self.last = self.last.max(row.at);
+        Ok(())
+    }
+
     pub fn wu(&self, wu: WuId) -> Option<&Wu> {
         self.wus.get(&wu)
     }
 
+    pub fn by_id(&self, id: &str) -> Option<WuId> {
+        self.by_id.get(id).copied()
+    }
+
+    pub fn by_key(&self, key: &str) -> Option<WuId> {
+        self.by_key.get(key).copied()
+    }
+
+    /// How many it knows, ended ones as well.
+    pub fn len(&self) -> usize {
+        self.wus.len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.wus.is_empty()
+    }
+
+    /// The latest time that any record names. Guards against a clock that jumped back: no time is earlier.
+    pub fn last(&self) -> Millis {
+        self.last
+    }
+
+    /// A number that no work unit on record has.
+    pub fn next(&self) -> u64 {
+        self.next
+    }
+
     /// Work units without a final answer.
     pub fn open(&self) -> impl Iterator<Item = (WuId, &Wu)> {
-        self.wus.iter().filter(|(_, wu)| !wu.answered).map(|(id, wu)| (*id, wu))
+        self.wus.iter().filter(|(_, wu)| wu.answered.is_none()).map(|(id, wu)| (*id, wu))
+    }
+
+    /// Up to so many that were answered before then.
+    pub fn answered_before(&self, then: Millis, most: usize) -> Vec<WuId> {
+        let until = (then.max(0.0).to_bits(), WuId(0));
+        self.ended.range(..until).take(most).map(|(_, wu)| *wu).collect()
     }
 
-    /// Adds a record that is on disk.
+    /// Adds a record that is made now; the row is what is to be written.
     ///
     /// # Errors
     /// Why it does not follow; nothing is changed then.
-    pub fn apply(&mut self, now: Millis, record: &Record) -> Result<(), Broken> {
+    pub fn apply(&mut self, now: Millis, record: Record) -> Result<Row, Broken> {
+        let place = self.wus.get(&record.wu()).map_or(0, |wu| wu.rows);
+        self.add(now, now, &record)?;
+        self.last = self.last.max(now);
+        Ok(Row { at: now, place, record })
+    }
+
+    fn add(&mut self, now: Millis, at: Millis, record: &Record) -> Result<(), Broken> {
         match record {
-            Record::Taken { wu, effect, limit } => {
-                if self.wus.contains_key(wu) {
+            Record::Taken { wu, effect, limit, id, key, digest, .. } => {
+                if self.wus.contains_key(wu) || self.by_id.contains_key(id) {
                     return Err(Broken::TakenTwice);
                 }
-                let taken = Wu { effect: *effect, limit: *limit, allocations: Vec::new(), answered: false };
+                if key.as_ref().is_some_and(|key| self.by_key.contains_key(key)) {
+                    return Err(Broken::KeyTwice);
+                }
+                self.by_id.insert(id.clone(), *wu);
+                if let Some(key) = key {
+                    self.by_key.insert(key.clone(), *wu);
+                }
+                self.next = self.next.max(wu.0 + 1);
+                let taken = Wu {
+                    effect: *effect,
+                    taken: at,
+                    limit: *limit,
+                    id: id.clone(),
+                    key: key.clone(),
+                    digest: *digest,
+                    allocations: Vec::new(),
+                    answered: None,
+                    acknowledged: false,
+                    rows: 0,
+                };
                 self.wus.insert(*wu, taken);
             }
             Record::Allocated { wu, fence, executor, lease_until } => {
@@ -214,6 +386,7 @@
                 wu.allocations.push(Allocation {
                     fence: *fence,
                     executor: executor.clone(),
+                    at,
                     lease_until: *lease_until,
                     started: false,
                     ended: None,
@@ -233,20 +406,36 @@
                 }
                 allocation.fenced = true;
             }
-            Record::Answered { wu } => self.open_wu(*wu)?.answered = true,
-            Record::Forgotten { wu } => {
-                if !self.wus.get(wu).ok_or(Broken::UnknownWu)?.answered {
+            Record::Answered { wu, .. } => {
+                self.open_wu(*wu)?.answered = Some(at);
+                self.ended.insert((at.max(0.0).to_bits(), *wu));
+            }
+            Record::Acknowledged { wu } => {
+                let wu = self.wus.get_mut(wu).ok_or(Broken::UnknownWu)?;
+                if wu.answered.is_none() {
                     return Err(Broken::Open);
                 }
-                self.wus.remove(wu);
+                wu.acknowledged = true;
             }
+            Record::Forgotten { wu } => {
+                let answered = self.wus.get(wu).ok_or(Broken::UnknownWu)?.answered.ok_or(Broken::Open)?;
+                self.ended.remove(&(answered.max(0.0).to_bits(), *wu));
+                if let Some(gone) = self.wus.remove(wu) {
+                    self.by_id.remove(&gone.id);
+                    gone.key.map(|key| self.by_key.remove(&key));
+                }
+                return Ok(());
+            }
+        }
+        if let Some(wu) = self.wus.get_mut(&record.wu()) {
+            wu.rows += 1;
         }
         Ok(())
     }
 
     fn open_wu(&mut self, wu: WuId) -> Result<&mut Wu, Broken> {
         let wu = self.wus.get_mut(&wu).ok_or(Broken::UnknownWu)?;
-        if wu.answered { Err(Broken::Over) } else { Ok(wu) }
+        if wu.answered.is_some() { Err(Broken::Over) } else { Ok(wu) }
     }
 
     /// An allocation without an end; its word counts also after the final answer.
--- /dev/null
+++ b/crates/ledger/src/store.rs
@@ -0,0 +1,366 @@
+//! Rows on disk: one redb database, in which a row stands under its work unit and its place among that one's rows.
+//! A commit is whole or absent after a crash, and a torn one is cut back to the one before it. Rows of a work
+//! unit that is forgotten are taken out, and their room is used again.
+use crate::codec::{self, Damaged, FORMAT};
+use crate::{Record, Row};
+use redb::backends::FileBackend;
+use redb::{
+    BackendError, Builder, ConcurrencyMode, Database, DatabaseError, ReadOnlyDatabase, ReadTransaction,
+    ReadableDatabase, ReadableTable, ReadableTableMetadata, StorageBackend, TableDefinition, TableError,
+};
+use std::fs::{File, OpenOptions};
+use std::io;
+use std::ops::{Bound, RangeInclusive};
+use std::path::Path;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use troutknot::WuId;
+
+const ROWS: TableDefinition<(u64, u32), &[u8]> = TableDefinition::new("rows");
+const ABOUT: TableDefinition<&str, u64> = TableDefinition::new("about");
+const FORMAT_KEY: &str = "format";
+const CACHE: usize = 4 * 1024 * 1024;
+
+/// Why a ledger cannot be used, or a commit did not come about.
+#[derive(Debug, thiserror::Error)]
+pub enum StoreError {
+    #[error("another process has it open")]
+    InUse,
+    #[error("it is of format {0}; up to {FORMAT} is understood")]
+    Newer(u64),
+    #[error("{0}")]
+    Disk(String),
+    #[error("row {place} of work unit {wu}: {why}")]
+    Row { wu: u64, place: u32, why: Damaged },
+    #[error("it is no ledger")]
+    NoLedger,
+}
+
+fn disk(error: impl std::fmt::Display) -> StoreError {
+    StoreError::Disk(error.to_string())
+}
+
+fn opened(error: DatabaseError) -> StoreError {
+    match error {
+        DatabaseError::DatabaseAlreadyOpen => StoreError::InUse,
+        other => disk(other),
+    }
+}
+
+/// What was written and synced since the ledger was opened.
+#[derive(Default, Debug)]
+pub struct Wear {
+    pub writes: AtomicU64,
+    pub bytes: AtomicU64,
+    pub syncs: AtomicU64,
+}
+
+/// Counts what goes to a file.
+#[derive(Debug)]
+struct Counted<B: StorageBackend> {
+    inner: B,
+    wear: Arc<Wear>,
+}
+
+type Done<T> = Result<T, BackendError>;
+
+impl<B: StorageBackend> StorageBackend for Counted<B> {
+    fn len(&self) -> io::Result<u64> {
+        self.inner.len()
+    }
+
+    fn read(&self, offset: u64, out: &mut [u8]) -> io::Result<()> {
+        self.inner.read(offset, out)
+    }
+
+    fn set_len(&self, len: u64) -> io::Result<()> {
+        self.inner.set_len(len)
+    }
+
+    fn sync_data(&self) -> io::Result<()> {
+        self.wear.syncs.fetch_add(1, Ordering::Relaxed);
+        self.inner.sync_data()
+    }
+
+    fn write(&self, offset: u64, data: &[u8]) -> io::Result<()> {
+        self.wear.writes.fetch_add(1, Ordering::Relaxed);
+        self.wear.bytes.fetch_add(data.len() as u64, Ordering::Relaxed);
+        self.inner.write(offset, data)
+    }
+
+    fn close(&self) -> io::Result<()> {
+        self.inner.close()
+    }
+
+    fn try_lock_range(&self, start: Bound<u64>, end: Bound<u64>) -> Done<bool> {
+        self.inner.try_lock_range(start, end)
+    }
+
+    fn try_lock_shared_range(&self, start: Bound<u64>, end: Bound<u64>) -> Done<bool> {
+        self.inner.try_lock_shared_range(start, end)
+    }
+
+    fn lock_range(&self, start: Bound<u64>, end: Bound<u64>) -> Done<()> {
+        self.inner.lock_range(start, end)
+    }
+
+    fn lock_shared_range(&self, start: Bound<u64>, end: Bound<u64>) -> Done<()> {
+        self.inner.lock_shared_range(start, end)
+    }
+
+    fn unlock_range(&self, start: Bound<u64>, end: Bound<u64>) -> Done<()> {
+        self.inner.unlock_range(start, end)
+    }
+
+    fn query_lock_range(&self, start: Bound<u64>, end: Bound<u64>) -> Done<bool> {
+        self.inner.query_lock_range(start, end)
+    }
+}
+
+/// A ledger that is open for writing.
+#[derive(Debug)]
+pub struct Store {
+    db: Database,
+    wear: Arc<Wear>,
+}
+
+impl Store {
+    /// Opens or makes a ledger; what a crash left half done is cut back. Readers may look at it meanwhile.
+    ///
+    /// # Errors
+    /// Where another process writes it, it cannot be read or written, or a later version made it.
+    pub fn open(path: &Path) -> Result<Self, StoreError> {
+        let file = OpenOptions::new().read(true).write(true).create(true).truncate(false).open(path);
+        let backend = FileBackend::new(file.map_err(disk)?).map_err(opened)?;
+        let store = Store::build(backend, ConcurrencyMode::SingleWriter)?;
+        // The name of a new file is not on disk before its directory is.
+        let directory = path.parent().filter(|p| !p.as_os_str().is_empty()).unwrap_or(Path::new("."));
+        File::open(directory).and_then(|d| d.sync_all()).map_err(disk)?;
+        Ok(store)
+    }
+
+    /// The same on storage of the caller's own, which nobody else uses.
+    ///
+    /// # Errors
+    /// As [`Store::open`].
+    pub fn over(backend: impl StorageBackend) -> Result<Self, StoreError> {
+        Store::build(backend, ConcurrencyMode::ExclusiveWriter)
+    }
+
+    fn build(backend: impl StorageBackend, mode: ConcurrencyMode) -> Result<Self, StoreError> {
+        let wear = Arc::<Wear>::default();
+        let backend = Counted { inner: backend, wear: wear.clone() };
+        let db = Builder::new().set_cache_size(CACHE).set_concurrency_mode(mode).create_with_backend(backend);
+        let store = Store { db: db.map_err(opened)?, wear };
+        let known = format_of(&store.db.begin_read().map_err(disk)?)?;
+        if known.is_none() {
+            let txn = store.begin()?;
+            {
+                txn.open_table(ROWS).map_err(disk)?;
+                let mut about = txn.open_table(ABOUT).map_err(disk)?;
+                about.insert(FORMAT_KEY, u64::from(FORMAT)).map_err(disk)?;
+            }
+            txn.commit().map_err(disk)?;
+        }
+        Ok(store)
+    }
+
+    fn begin(&self) -> Result<redb::WriteTransaction, StoreError> {
+        let mut txn = self.db.begin_write().map_err(disk)?;
+        txn.set_two_phase_commit(true);
+        Ok(txn)
+    }
+
+    pub fn wear(&self) -> &Arc<Wear> {
+        &self.wear
+    }
+
+    /// Writes rows and syncs them, all or none. A row that is there already is written over, so that a commit
+    /// of which it is not known whether it came about may be made again.
+    ///
+    /// # Errors
+    /// Where the disk does not take them; they may be there all the same.
+    pub fn commit<'a>(&self, rows: impl IntoIterator<Item = &'a Row>) -> Result<(), StoreError> {
+        let txn = self.begin()?;
+        {
+            let mut table = txn.open_table(ROWS).map_err(disk)?;
+            for row in rows {
+                let wu = row.record.wu();
+                if let Record::Forgotten { .. } = row.record {
+                    table.retain_in(range(wu), |_, _| false).map_err(disk)?;
+                } else {
+                    let bytes = codec::encode(row.at, &row.record);
+                    table.insert((wu.0, row.place), bytes.as_slice()).map_err(disk)?;
+                }
+            }
+        }
+        txn.commit().map_err(disk)
+    }
+
+    /// Gives room back to the file system; false where there was none to give.
+    ///
+    /// # Errors
+    /// Where the disk does not take it.
+    pub fn compact(&mut self) -> Result<bool, StoreError> {
+        self.db.compact().map_err(disk)
+    }
+
+    /// Checks every page; false where something had to be repaired.
+    ///
+    /// # Errors
+    /// Where it is damaged beyond that.
+    pub fn check(&mut self) -> Result<bool, StoreError> {
+        self.db.check_integrity().map_err(disk)
+    }
+}
+
+fn range(wu: WuId) -> RangeInclusive<(u64, u32)> {
+    (wu.0, 0)..=(wu.0, u32::MAX)
+}
+
+fn format_of(txn: &ReadTransaction) -> Result<Option<u64>, StoreError> {
+    let about = match txn.open_table(ABOUT) {
+        Ok(about) => about,
+        Err(TableError::TableDoesNotExist(_)) => return Ok(None),
+        Err(other) => return Err(disk(other)),
+    };
+    let format = about.get(FORMAT_KEY).map_err(disk)?.map(|found| found.value());
+    match format {
+        Some(format) if format > u64::from(FORMAT) => Err(StoreError::Newer(format)),
+        other => Ok(other),
+    }
+}
+
+/// What may be read of a ledger, whoever writes it.
+pub trait Rows {
+    #[doc(hidden)]
+    fn begin_read(&self) -> Result<ReadTransaction, StoreError>;
+
+    /// All rows, those of one work unit together and in order; what is no row is told as an error and passed.
+    ///
+    /// # Errors
+    /// Where the file cannot be read on.
+    fn each(&self, mut each: impl FnMut(Result<Row, StoreError>)) -> Result<(), StoreError> {
+        let txn = self.begin_read()?;
+        for found in txn.open_table(ROWS).map_err(disk)?.iter().map_err(disk)? {
+            let (key, bytes) = found.map_err(disk)?;
+            let (wu, place) = key.value();
+            each(row(wu, place, bytes.value()));
+        }
+        Ok(())
+    }
+
+    /// The rows of one work unit, in order.
+    ///
+    /// # Errors
+    /// Where one is damaged, or the file cannot be read.
+    fn of(&self, wu: WuId) -> Result<Vec<Row>, StoreError> {
+        let txn = self.begin_read()?;
+        let table = txn.open_table(ROWS).map_err(disk)?;
+        let mut rows = Vec::new();
+        for found in table.range(range(wu)).map_err(disk)? {
+            let (key, bytes) = found.map_err(disk)?;
+            rows.push(row(wu.0, key.value().1, bytes.value())?);
+        }
+        Ok(rows)
+    }
+
+    /// How many rows there are.
+    ///
+    /// # Errors
+    /// Where the file cannot be read.
+    fn count(&self) -> Result<u64, StoreError> {
+        self.begin_read()?.open_table(ROWS).map_err(disk)?.len().map_err(disk)
+    }
+}
+
+fn row(wu: u64, place: u32, bytes: &[u8]) -> Result<Row, StoreError> {
+    let row = codec::decode(place, bytes).map_err(|why| StoreError::Row { wu, place, why })?;
+    if row.record.wu() != WuId(wu) {
+        let why = Damaged::Record("it is of another work unit".into());
+        return Err(StoreError::Row { wu, place, why });
+    }
+    Ok(row)
+}
+
+impl Rows for Store {
+    fn begin_read(&self) -> Result<ReadTransaction, StoreError> {
+        self.db.begin_read().map_err(disk)
+    }
+}
+
+/// A ledger that is only read: beside the process that writes it, or after that one's death.
+pub enum Reader {
+    Live(ReadOnlyDatabase),
+    /// A copy in memory, on which what a crash left half done is cut back.
+    Copy(Box<Store>),
+}
+
+impl Reader {
+    /// Opens a ledger without changing it.
+    ///
+    /// # Errors
+    /// Where it cannot be read, is none, or a later version made it.
+    pub fn open(path: &Path) -> Result<Self, StoreError> {
+        let live = Builder::new().set_concurrency_mode(ConcurrencyMode::SingleWriter).open_read_only(path);
+        let reader = match live {
+            Ok(db) => Reader::Live(db),
+            Err(DatabaseError::DatabaseAlreadyOpen) => return Err(StoreError::InUse),
+            Err(_) => {
+                let bytes = std::fs::read(path).map_err(disk)?;
+                if bytes.is_empty() {
+                    return Err(StoreError::NoLedger);
+                }
+                Reader::Copy(Box::new(Store::over(Memory(Mutex::new(bytes)))?))
+            }
+        };
+        let format = format_of(&reader.begin_read()?)?;
+        format.map(|_| reader).ok_or(StoreError::NoLedger)
+    }
+}
+
+impl Rows for Reader {
+    fn begin_read(&self) -> Result<ReadTransaction, StoreError> {
+        match self {
+            Reader::Live(db) => db.begin_read().map_err(disk),
+            Reader::Copy(store) => store.begin_read(),
+        }
+    }
+}
+
+/// A file's bytes, changed in memory alone.
+#[derive(Debug)]
+struct Memory(Mutex<Vec<u8>>);
+
+impl Memory {
+    fn with<R>(&self, offset: u64, len: usize, use_it: impl FnOnce(&mut [u8]) -> R) -> io::Result<R> {
+        let mut bytes = self.0.lock().map_err(|_| io::Error::other("a reader has died"))?;
+        let start = usize::try_from(offset).map_err(io::Error::other)?;
+        let part = start.checked_add(len).and_then(|end| bytes.get_mut(start..end));
+        part.map(use_it).ok_or_else(|| io::ErrorKind::UnexpectedEof.into())
+    }
+}
+
+impl StorageBackend for Memory {
+    fn len(&self) -> io::Result<u64> {
+        self.0.lock().map(|bytes| bytes.len() as u64).map_err(|_| io::Error::other("a reader has died"))
+    }
+
+    fn read(&self, offset: u64, out: &mut [u8]) -> io::Result<()> {
+        self.with(offset, out.len(), |part| out.copy_from_slice(part))
+    }
+
+    fn set_len(&self, len: u64) -> io::Result<()> {
+        let mut bytes = self.0.lock().map_err(|_| io::Error::other("a reader has died"))?;
+        bytes.resize(usize::try_from(len).map_err(io::Error::other)?, 0);
+        Ok(())
+    }
+
+    fn sync_data(&self) -> io::Result<()> {
+        Ok(())
+    }
+
+    fn write(&self, offset: u64, data: &[u8]) -> io::Result<()> {
+        self.with(offset, data.len(), |part| part.copy_from_slice(data))
+    }
+}
--- a/crates/ledger/tests/interleavings.rs
+++ b/crates/ledger/tests/interleavings.rs
@@ -2,12 +2,23 @@
 //! unit: it must never run twice, nor be out twice at once. A ledger whose leases free must be caught.
 use std::collections::HashSet;
 use troutknot::{AllocId, Effect, Outcome, WuId};
-use troutknot_ledger::{Broken, Fence, Ledger, Record, Refused, Standing};
+use troutknot_ledger::{Answer, Broken, Fence, Ledger, Record, Refused, Row, Standing};
 
 const WU: WuId = WuId(1);
 const MOST: usize = 3;
 const DEPTH: usize = 24;
 
+fn taken(effect: Effect) -> Record {
+    let (id, digest, work) = ("a".into(), [0; 32], Vec::new());
+    Record::Taken { wu: WU, effect, limit: 1e9, id, key: Some("k".into()), digest, work }
+}
+
+/// As they stand on disk.
+fn rows(records: Vec<Record>) -> Vec<Row> {
+    let row = |(place, record)| Row { at: 0.0, place: place as u32, record };
+    records.into_iter().enumerate().map(row).collect()
+}
+
 /// What an executor did with an allocation that reached it, or not.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, Debug)]
 enum At {
@@ -30,7 +41,7 @@
 
 /// The records that a world stands for: all of them are on disk whenever a step is over.
 fn records(world: &World) -> Vec<Record> {
-    let mut records = vec![Record::Taken { wu: WU, effect: Effect::Exclusive, limit: 1e9 }];
+    let mut records = vec![taken(Effect::Exclusive)];
     for (k, (_, lease_over)) in world.allocs.iter().enumerate() {
         let lease_until = if *lease_over { 0.0 } else { f64::MAX };
         let fence = Fence(k as u64 + 1);
@@ -58,7 +69,7 @@
         then(&|w| w.up = true);
     } else {
         then(&|w| w.up = false);
-        let (ledger, broken) = Ledger::recover(MOST, &records(world));
+        let (ledger, broken) = Ledger::recover(MOST, &rows(records(world)));
         assert!(broken.is_none() || frees, "{broken:?} {world:?}");
         let wu = ledger.wu(WU).unwrap();
         let mutant = frees && world.allocs.len() < MOST && world.allocs.iter().all(|(_, over)| *over);
@@ -114,7 +125,12 @@
 
 #[test]
 fn records_that_do_not_follow_are_refused_and_change_nothing() {
-    let taken = Record::Taken { wu: WU, effect: Effect::Exclusive, limit: 9.0 };
+    let taken = taken(Effect::Exclusive);
+    let other = |id: &str, key: &str| {
+        let (id, key, digest, work) = (id.into(), Some(key.into()), [0; 32], Vec::new());
+        Record::Taken { wu: WuId(2), effect: Effect::Exclusive, limit: 9.0, id, key, digest, work }
+    };
+    let answered = Record::Answered { wu: WU, answer: Answer::Aborted };
     let allocated =
         |fence| Record::Allocated { wu: WU, fence: Fence(fence), executor: "s".into(), lease_until: 5.0 };
     let ended = |outcome| Record::Ended { wu: WU, alloc: AllocId(0), outcome };
@@ -135,14 +151,18 @@
             Record::Fenced { wu: WU, alloc: AllocId(0) },
             Broken::Ended,
         ),
-        (vec![taken.clone(), Record::Answered { wu: WU }], allocated(1), Broken::Over),
+        (vec![taken.clone(), answered.clone()], allocated(1), Broken::Over),
+        (vec![taken.clone()], other("a", "l"), Broken::TakenTwice),
+        (vec![taken.clone()], other("b", "k"), Broken::KeyTwice),
+        (vec![taken.clone()], Record::Acknowledged { wu: WU }, Broken::Open),
+        (vec![taken.clone(), answered.clone()], answered, Broken::Over),
         (vec![taken.clone()], Record::Forgotten { wu: WU }, Broken::Open),
     ];
     for (before, record, expected) in cases {
         let mut ledger = Ledger::new(MOST);
-        before.iter().for_each(|record| ledger.apply(1.0, record).unwrap());
+        before.into_iter().for_each(|record| _ = ledger.apply(1.0, record).unwrap());
         let was = ledger.clone();
-        assert_eq!(ledger.apply(1.0, &record), Err(expected), "{record:?}");
+        assert_eq!(ledger.apply(1.0, record.clone()), Err(expected), "{record:?}");
         assert_eq!(ledger, was);
     }
 }
@@ -152,13 +172,13 @@
     let mut ledger = Ledger::new(MOST);
     let alloc = AllocId(0);
     for record in [
-        Record::Taken { wu: WU, effect: Effect::Rerunnable, limit: 1e9 },
+        taken(Effect::Rerunnable),
         Record::Allocated { wu: WU, fence: Fence(1), executor: "s".into(), lease_until: 10.0 },
         Record::Heartbeat { wu: WU, alloc, lease_until: 20.0 },
         // One that was under way for long does not shorten it.
         Record::Heartbeat { wu: WU, alloc, lease_until: 15.0 },
     ] {
-        ledger.apply(1.0, &record).unwrap();
+        ledger.apply(1.0, record).unwrap();
     }
     let wu = ledger.wu(WU).unwrap();
     assert_eq!(
@@ -170,3 +190,31 @@
     assert_eq!(wu.may_allocate(20.0, 1), Err(Refused::Most));
     assert_eq!(ledger.open().count(), 1);
 }
+
+#[test]
+fn every_prefix_of_records_is_a_state_and_a_gap_is_none() {
+    let alloc = AllocId(0);
+    let mut ledger = Ledger::new(MOST);
+    let records = vec![
+        taken(Effect::Exclusive),
+        Record::Allocated { wu: WU, fence: Fence(1), executor: "s".into(), lease_until: 5.0 },
+        Record::Started { wu: WU, alloc },
+        Record::Ended { wu: WU, alloc, outcome: Outcome::Reset },
+        Record::Answered { wu: WU, answer: Answer::Completed(b"r".to_vec()) },
+        Record::Acknowledged { wu: WU },
+    ];
+    let mut written = Vec::new();
+    for (at, record) in records.into_iter().enumerate() {
+        written.push(ledger.apply(at as f64, record).unwrap());
+        let (again, broken) = Ledger::recover(MOST, &written);
+        assert_eq!((&again, broken), (&ledger, None));
+        assert_eq!(again.last(), at as f64, "time goes on from the last record");
+    }
+    assert_eq!((ledger.next(), ledger.by_key("k"), ledger.by_id("a")), (2, Some(WU), Some(WU)));
+    assert_eq!(ledger.answered_before(4.0, 9), []);
+    assert_eq!(ledger.answered_before(4.1, 9), [WU]);
+    let gap: Vec<Row> = written.iter().filter(|row| row.place != 2).cloned().collect();
+    assert_eq!(Ledger::recover(MOST, &gap).1, Some((2, Broken::Missing)));
+    ledger.apply(9.0, Record::Forgotten { wu: WU }).unwrap();
+    assert!(ledger.is_empty() && ledger.by_key("k").is_none() && ledger.answered_before(1e9, 9).is_empty());
+}
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -407,6 +407,7 @@
                 self.on_probed(now, executor, answered.then_some((lag, reading)))
             }
             Event::Ended { wu, alloc, outcome, closed } => self.on_ended(now, wu, alloc, outcome, closed),
+            Event::Recovered { wu, executor, sent } => self.on_recovered(now, wu, executor, sent),
             Event::Started { .. } | Event::Progress { .. } => {}
             Event::TimerFired => self.wake_set = f64::INFINITY,
             Event::Withdrawn { wu } => self.forget(wu),
@@ -530,6 +531,17 @@
         }
     }
 
+    /// Takes up an allocation of an earlier life: nothing is drawn, held or given up before its end is told.
+    fn on_recovered(&mut self, now: Millis, wu: WuId, executor: ExecutorId, sent: Millis) {
+        let known = (executor.0 as usize) < self.fleet.listed.len();
+        let Some(w) = self.wus.get_mut(&wu).filter(|_| known) else { return };
+        w.allocs.push(Alloc { executor, sent, outcome: None });
+        w.draws = 0;
+        let (slots, limit) = (w.slots, w.limit);
+        self.fleet.own_change(executor.0 as usize, now, slots);
+        self.want(wu, Wanted::Out(executor, limit), f64::INFINITY);
+    }
+
     fn forget(&mut self, wu: WuId) {
         let Some(w) = self.wus.remove(&wu) else { return };
         // What is still out after its answer is left to the readings to show.
--- a/src/terms.rs
+++ b/src/terms.rs
@@ -203,6 +203,13 @@
         outcome: Outcome,
         closed: bool,
     },
+    /// An allocation of an earlier life of this node, which is out until its end is told; after the arrival, in
+    /// order, and of an executor that was listed once.
+    Recovered {
+        wu: WuId,
+        executor: ExecutorId,
+        sent: Millis,
+    },
     /// An allocation has started to run, or to answer.
     Started {
         wu: WuId,
