--- a/crates/cli/src/check.rs
+++ b/crates/cli/src/check.rs
@@ -22,11 +22,11 @@
     Scenario::parse(&text, &file).map_err(|faults| faults.to_string())
 }
 
-/// Whether a file is an operator's own: what it says is about lists, and not about a day.
+/// Whether a file is an operator's own: what it says is about a node, and not about a day.
 fn is_own(path: &Path) -> bool {
     let text = std::fs::read_to_string(path).unwrap_or_default();
     let says = |word: &str| text.lines().any(|line| line.trim_start().starts_with(word));
-    says("[lists") && !says("length")
+    (says("[lists") || says("[durable]")) && !says("length")
 }
 
 impl Check {
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,6 +1,7 @@
 //! `troutknot`: the command line, and nothing else. Results go to standard output, all else to standard error.
 mod check;
 mod emulate;
+mod ledger;
 mod rehearse;
 
 use clap::{CommandFactory, Parser, Subcommand};
@@ -51,6 +52,7 @@
     Rehearse(rehearse::Rehearse),
     Emulate(emulate::Emulate),
     Check(check::Check),
+    Ledger(ledger::LedgerArgs),
     /// Print a script that completes commands in a shell
     #[command(
         after_help = "Example: troutknot completions bash > ~/.local/share/bash-completion/completions/troutknot"
@@ -75,6 +77,7 @@
         Verb::Rehearse(rehearse) => rehearse.run(),
         Verb::Emulate(emulate) => emulate.run(),
         Verb::Check(check) => check.run(),
+        Verb::Ledger(ledger) => ledger.run(),
         Verb::Completions { shell } => {
             clap_complete::generate(shell, &mut Command::command(), "troutknot", &mut std::io::stdout());
             Ended::Held
--- a/crates/cli/tests/rehearse.rs
+++ b/crates/cli/tests/rehearse.rs
@@ -120,6 +120,81 @@
     });
 }
 
+const KILLS: &str = "[durable]\nlease = '300ms'\n[[events]]\nwhat = 'kill-nodes'\nat = '200ms'\n\
+                     every = '250ms'\nlasts = '3s'\nback = '50ms'\n";
+
+#[test]
+fn nodes_killed_over_and_over_run_nothing_exclusive_twice_and_one_that_forgets_is_caught() {
+    let (report, _, said) = played("durable.toml", KILLS);
+    let verdict = &report["verdict"];
+    assert_eq!(verdict["breaches"].as_array().unwrap().len(), 0, "{verdict:#} {said}");
+    let publish = &verdict["by_type"]["publish"];
+    assert!(publish["tries"].as_u64() > publish["requests"].as_u64(), "the kills struck: {publish:#}");
+    // The mutant: a node without its ledger takes whoever asks again for a newcomer.
+    let program = file("forgets.sh", "#!/bin/sh\nunset TROUTKNOT_FILE\nexec \"$TROUTKNOT\" node\n");
+    std::fs::set_permissions(&program, std::os::unix::fs::PermissionsExt::from_mode(0o755)).unwrap();
+    let day = file("forgets.toml", &format!("{}{KILLS}", DAY.replace("work = \"40ms\"", "work = \"200ms\"")));
+    let caught = (1..=5).any(|seed: u64| {
+        let out = Command::new(env!("CARGO_BIN_EXE_troutknot"))
+            .args(["rehearse", day.to_str().unwrap(), "--json", "--seed", &seed.to_string(), "--node"])
+            .arg(&program)
+            .env("TROUTKNOT", env!("CARGO_BIN_EXE_troutknot"))
+            .output()
+            .unwrap();
+        let report: Value = serde_json::from_slice(&out.stdout).unwrap();
+        let breaches = report["verdict"]["breaches"].as_array().unwrap();
+        breaches.iter().any(|b| b["name"] == "second-effect" || b["name"] == "ran-again")
+    });
+    assert!(caught, "a node that forgets runs something twice");
+}
+
+#[test]
+fn ledgers_that_are_live_dead_damaged_or_none() {
+    use troutknot_ledger::store::Store;
+    use troutknot_ledger::{Answer, Fence, Record, Row};
+    let path = file("ledger", "");
+    let wu = troutknot::WuId(1);
+    let (id, key, digest, work) = ("a1".to_string(), None, [0; 32], vec![]);
+    let effect = troutknot::Effect::Exclusive;
+    let row = |place, record| Row { at: 1e12, place, record };
+    let rows = [
+        row(0, Record::Taken { wu, effect, limit: 2e12, id, key, digest, work }),
+        row(1, Record::Allocated { wu, fence: Fence(1), executor: "s-7".into(), lease_until: 1e12 }),
+    ];
+    let store = Store::open(&path).unwrap();
+    store.commit(&rows).unwrap();
+    let at = path.to_str().unwrap().to_string();
+    let said = |verb: &str, path: &str| {
+        let out = troutknot(&["ledger", verb, path]);
+        let text = [out.stdout, out.stderr].map(|b| String::from_utf8_lossy(&b).to_string()).concat();
+        (out.status.code().unwrap(), text)
+    };
+    let (status, shown) = said("show", &at);
+    assert!(status == 0 && shown.contains("1 work units on record, 1 open; 2 rows"), "live: {shown}");
+    assert!(shown.contains("a1: taken") && shown.contains("allocation 1 to s-7: unknown"), "{shown}");
+    assert_eq!(said("compact", &at).0, 2, "its node runs");
+    drop(store);
+    assert_eq!(said("verify", &at), (0, "good: 2 rows of 1 work units\n".into()));
+    assert_eq!(said("compact", &at).0, 0);
+    // An allocation after the answer does not follow, and is named.
+    let store = Store::open(&path).unwrap();
+    let answered = Record::Answered { wu, answer: Answer::Aborted };
+    let late = Record::Allocated { wu, fence: Fence(2), executor: "s-8".into(), lease_until: 1e12 };
+    store.commit(&[row(2, answered), row(3, late)]).unwrap();
+    drop(store);
+    let (status, found) = said("verify", &at);
+    assert!(
+        status == 1 && found.contains("row 3 of work unit 1: the work unit has its final answer"),
+        "{found}"
+    );
+    for (name, path) in [("none", PathBuf::from("nowhere.ledger")), ("text", file("text", "not a ledger"))] {
+        for verb in ["show", "verify", "compact"] {
+            let (status, said) = said(verb, path.to_str().unwrap_or_default());
+            assert!(status == 2 && said.starts_with("troutknot: ledger `"), "{name} {verb}: {said}");
+        }
+    }
+}
+
 #[test]
 fn a_bar_that_is_missed_is_exit_status_1() {
     let (report, status, _) = played(
@@ -167,6 +242,9 @@
     }
     assert!(troutknot(&["--version"]).status.success());
     let good = file("good.toml", DAY);
+    let durable = file("durable-own.toml", "[durable]\npath = \"ledger\"\nkept = \"10days\"\n");
+    let said = troutknot(&["check", durable.to_str().unwrap()]);
+    assert!(String::from_utf8_lossy(&said.stderr).contains("`durable.kept` must be 100ms to 7days"));
     let own = concat!(env!("CARGO_MANIFEST_DIR"), "/../../deploy/troutknot.toml");
     assert_eq!(troutknot(&["check", good.to_str().unwrap(), own]).status.code(), Some(0));
     let text = std::fs::read_to_string(own).unwrap().replace("share = 0.5", "share = 5");
--- a/crates/daemon/src/durable/mod.rs
+++ b/crates/daemon/src/durable/mod.rs
@@ -312,6 +312,10 @@
             sleep(WRITE_AGAIN).await;
             written = self.write(Vec::new()).await;
         }
+        if let Answer::Deferred(_) = answer {
+            // It did not run, or may run again: whoever comes back with its key asks anew.
+            self.later(Record::Forgotten { wu });
+        }
         self.publish(wu, &joint, answer);
     }
 
--- a/crates/emulator/src/front.rs
+++ b/crates/emulator/src/front.rs
@@ -47,6 +47,11 @@
         self.nodes.borrow().iter().filter(|node| node.taken_in.get()).count()
     }
 
+    /// Where a node is, by its number, whether it is taken in or not.
+    pub fn addr(&self, node: usize) -> Option<SocketAddr> {
+        self.nodes.borrow().get(node).map(|node| node.addr)
+    }
+
     /// The node, by its number, that gets the next connection; none where none is taken in.
     pub fn deal(&self) -> Option<(usize, SocketAddr)> {
         let nodes = self.nodes.borrow();
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -327,6 +327,11 @@
         self.next
     }
 
+    /// All work units on record.
+    pub fn all(&self) -> impl Iterator<Item = (WuId, &Wu)> {
+        self.wus.iter().map(|(id, wu)| (*id, wu))
+    }
+
     /// Work units without a final answer.
     pub fn open(&self) -> impl Iterator<Item = (WuId, &Wu)> {
         self.wus.iter().filter(|(_, wu)| wu.answered.is_none()).map(|(id, wu)| (*id, wu))
--- a/crates/rehearsal/src/lists.rs
+++ b/crates/rehearsal/src/lists.rs
@@ -1,5 +1,5 @@
 //! What tells the nodes of a rehearsal their list: the platform's discovery, or Consul's stand-in.
-use crate::scenario::{How, Scenario, Source};
+use crate::scenario::{How, Scenario, Source, Syncs};
 use anyhow::{Context, Result};
 use serde_json::Value;
 use std::cell::RefCell;
@@ -124,9 +124,18 @@
     }
 
     /// The operator's own file, where the node needs one.
-    pub fn own_file(&self, scenario: &Scenario) -> Option<String> {
-        let NodeList::Consul(list) = self else { return None };
-        let mut text = String::from("[lists]\nsources = [\"consul\"]\n[lists.consul]\n");
+    pub fn own_file(&self, scenario: &Scenario, ledger: &Path) -> Option<String> {
+        let mut text = String::new();
+        if let Some(d) = &scenario.durable {
+            let sync = if d.sync == Syncs::Each { "each" } else { "together" };
+            let _ = writeln!(text, "[durable]\npath = {:?}\nsync = \"{sync}\"", ledger.display().to_string());
+            let _ =
+                writeln!(text, "fences = {}\nkept = \"{}\"", d.fences, humantime::format_duration(d.kept));
+            let lease = d.lease.iter().map(|l| format!("lease = \"{}\"\n", humantime::format_duration(*l)));
+            lease.for_each(|line| text += &line);
+        }
+        let NodeList::Consul(list) = self else { return Some(text).filter(|text| !text.is_empty()) };
+        text += "[lists]\nsources = [\"consul\"]\n[lists.consul]\n";
         let _ =
             writeln!(text, "agents = [\"{}\"]\nwait = \"5s\"\nlongest_retry = \"500ms\"", list.agent.addr);
         let _ = writeln!(text, "[lists.consul.damping]\non = {}", scenario.discovery.damping);
--- a/crates/rehearsal/src/plan.rs
+++ b/crates/rehearsal/src/plan.rs
@@ -257,6 +257,23 @@
                     steps.push((at, Step::KillNode { node }));
                     steps.push((at + back.unwrap_or(0.0), Step::StartNode { node }));
                 }
+                EventKind::KillNodes => {
+                    let every = event.every.map_or(1000.0, millis);
+                    let (end, back) = (at + event.lasts.map_or(0.0, millis), back.unwrap_or(0.0));
+                    let mut up_at = vec![at; scenario.nodes.count];
+                    let mut wait = || -every * (1.0 - rng.random::<f64>()).ln();
+                    let mut now = at + wait();
+                    while now < end {
+                        let first = up_at.iter().enumerate().min_by(|a, b| a.1.total_cmp(b.1));
+                        let node = first.map_or(0, |(node, _)| node);
+                        // One that has just come back is given the time to listen.
+                        now = now.max(up_at[node]);
+                        steps.push((now, Step::KillNode { node }));
+                        steps.push((now + back, Step::StartNode { node }));
+                        up_at[node] = now + back + 150.0;
+                        now += wait();
+                    }
+                }
                 EventKind::RestartNode => {
                     let longest = scenario.project_types.iter().map(|t| t.get_ref().hard_limit).max();
                     let granted = millis(longest.unwrap_or_default().min(Duration::from_secs(3))) + 700.0;
--- a/crates/rehearsal/src/run.rs
+++ b/crates/rehearsal/src/run.rs
@@ -134,6 +134,7 @@
             .map(|t| TypeFacts {
                 name: t.name.clone(),
                 effect: t.effect,
+                keyed: scenario.is_keyed(t),
                 scope: t.repeat_scope,
                 window: millis(t.window),
                 hard_limit: millis(t.hard_limit),
--- a/crates/rehearsal/src/scenario.rs
+++ b/crates/rehearsal/src/scenario.rs
@@ -37,6 +37,8 @@
     pub discovery: Discovery,
     #[serde(default)]
     pub front: Front,
+    /// Exclusive work is taken durably, and asked for again by its key, where it is given.
+    pub durable: Option<DurableSpec>,
     #[serde(default)]
     pub troubles: Vec<Spanned<TroubleSpec>>,
     #[serde(default)]
@@ -355,6 +357,33 @@
     }
 }
 
+/// When a node's ledger syncs.
+#[derive(Deserialize, Clone, Copy, Debug, PartialEq)]
+#[serde(rename_all = "kebab-case")]
+pub enum Syncs {
+    Together,
+    Each,
+}
+
+/// What nodes are told of durable work; every node has a ledger of its own in the rehearsal's folder.
+#[derive(Deserialize, Clone, Debug)]
+#[serde(deny_unknown_fields, default)]
+pub struct DurableSpec {
+    pub sync: Syncs,
+    /// None where executors tell no progress.
+    #[serde(with = "humantime_serde")]
+    pub lease: Option<Duration>,
+    pub fences: bool,
+    #[serde(with = "humantime_serde")]
+    pub kept: Duration,
+}
+
+impl Default for DurableSpec {
+    fn default() -> Self {
+        DurableSpec { sync: Syncs::Together, lease: None, fences: true, kept: Duration::from_secs(60) }
+    }
+}
+
 #[derive(Deserialize, Clone, Debug)]
 #[serde(deny_unknown_fields, default)]
 pub struct Front {
@@ -415,6 +444,9 @@
 pub enum EventKind {
     /// SIGKILL to a node, which starts again `back` later with the list that it had.
     KillNode,
+    /// SIGKILL to one node or another, over and over, at random times `every` so long in the mean; each starts
+    /// again `back` later.
+    KillNodes,
     /// SIGTERM to a node, SIGKILL after what the platform grants it, and a start `back` after its end.
     RestartNode,
     /// A new configuration and SIGHUP: every node's agent moves to another address.
@@ -548,6 +580,7 @@
     fn keys(self) -> &'static [&'static str] {
         match self {
             EventKind::KillNode | EventKind::RestartNode => &["node*", "back*"],
+            EventKind::KillNodes => &["every*", "lasts*", "back*"],
             EventKind::RereadNodes | EventKind::RestartDiscovery => &[],
             EventKind::Deploy => &["group*", "every*", "count"],
             EventKind::KillExecutor => &["group*", "back", "count"],
@@ -559,6 +592,11 @@
 }
 
 impl Scenario {
+    /// Whether work of a project type is taken durably, and its clients give a key.
+    pub fn is_keyed(&self, project_type: &ProjectType) -> bool {
+        self.durable.is_some() && project_type.effect == Effect::Exclusive
+    }
+
     /// Reads a scenario and checks it whole; `file` is named in the faults.
     ///
     /// # Errors
@@ -603,6 +641,12 @@
             let section = c.section("discovery");
             c.fault(&section, "notice_least", "`notice_least` is over `notice_most`".into());
         }
+        if let Some(durable) = &self.durable {
+            let section = c.section("durable");
+            let lease = durable.lease.map_or(1.0, |lease| lease.as_secs_f64());
+            c.number(&section, "lease", lease, 0.1..3600.0);
+            c.number(&section, "kept", durable.kept.as_secs_f64(), 0.1..86400.0);
+        }
         let mut names = Vec::new();
         for group in &self.executors {
             let (at, g) = (group.span(), group.get_ref());
@@ -734,6 +778,11 @@
             {
                 c.fault(&at, "every", "`every` of 10ms at least is allowed".into());
             }
+            if e.what == EventKind::KillNodes
+                && e.every.is_some_and(|every| every < Duration::from_millis(50))
+            {
+                c.fault(&at, "every", "`every` of 50ms at least is allowed".into());
+            }
             if e.at > self.length {
                 c.fault(&at, "at", "`at` must be within the day".into());
             }
--- a/crates/rehearsal/src/world.rs
+++ b/crates/rehearsal/src/world.rs
@@ -395,7 +395,7 @@
                 self.record.note(told);
             }
         }
-        let own = node.list.own_file(&self.scenario);
+        let own = node.list.own_file(&self.scenario, &node.own.with_extension("ledger"));
         if let Some(text) = &own {
             lists::write_own(&node.own, text)?;
         }
--- a/crates/rehearsal/tests/referee.rs
+++ b/crates/rehearsal/tests/referee.rs
@@ -7,11 +7,14 @@
 const RENDER: usize = 0;
 const MAIL: usize = 1;
 const PUBLISH: usize = 2;
+/// Exclusive, and asked for with a key until it is answered.
+const KEYED: usize = 3;
 
 fn facts(project_type: usize, scope: RepeatScope) -> Facts {
     let of = |name: &str, effect| TypeFacts {
         name: name.into(),
         effect,
+        keyed: name == "keyed",
         scope,
         window: 1000.0,
         hard_limit: 2000.0,
@@ -39,6 +42,7 @@
             of("render", Effect::Rerunnable),
             of("mail", Effect::Receipted),
             of("publish", Effect::Exclusive),
+            of("keyed", Effect::Exclusive),
         ],
         executors: vec![executor(0, false), executor(1, false), executor(2, true)],
         requests: vec![RequestFacts { project_type, at: 0.0 }],
@@ -312,6 +316,64 @@
             after(vec![(-3000.0, knows(Listed::Gone))], once(1060.0)),
             &["sent-to-drained"],
         ),
+        (
+            "a key whose result is made for the try before",
+            KEYED,
+            All,
+            vec![
+                (0.0, sent(0)),
+                (5.0, received(1, 0, 0, 5.0)),
+                (6.0, started(1)),
+                (10.0, Seen::NodeKilled { node: 0 }),
+                (10.0, Seen::GivenUp { alloc: 1 }),
+                (11.0, cut(false)),
+                (50.0, sent(1)),
+                (60.0, done(1)),
+                (70.0, answered(1, 200)),
+            ],
+            &[],
+        ),
+        (
+            "a key that runs again after a crash",
+            KEYED,
+            All,
+            vec![
+                (0.0, sent(0)),
+                (5.0, received(1, 0, 0, 5.0)),
+                (6.0, started(1)),
+                (10.0, Seen::NodeKilled { node: 0 }),
+                (10.0, Seen::GivenUp { alloc: 1 }),
+                (11.0, cut(false)),
+                (50.0, sent(1)),
+                (55.0, received(2, 1, 0, 55.0)),
+                (56.0, started(2)),
+                (60.0, done(2)),
+                (70.0, answered(1, 200)),
+            ],
+            &["repeat", "ran-again"],
+        ),
+        (
+            "a key that is never answered",
+            KEYED,
+            All,
+            vec![(0.0, sent(0)), (10.0, Seen::NodeKilled { node: 0 }), (11.0, cut(false))],
+            &["no-final"],
+        ),
+        (
+            "a key that is sent after the answer to another try",
+            KEYED,
+            All,
+            vec![
+                (0.0, sent(0)),
+                (10.0, Seen::NodeKilled { node: 0 }),
+                (11.0, cut(false)),
+                (50.0, sent(1)),
+                (60.0, answered(1, 502)),
+                (300.0, received(1, 0, 0, 300.0)),
+                (320.0, done(1)),
+            ],
+            &["sent-after-final"],
+        ),
         ("a cold one within its budget", RENDER, All, cold(2), &[]),
         ("a cold one pushed over", RENDER, All, cold(3), &["pushed-over"]),
     ];
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -56,6 +56,53 @@
     }
 }
 
+/// Allocations of an earlier life count like those of this one; one that is out holds back all else.
+#[test]
+fn what_follows_an_earlier_life() {
+    use Outcome::*;
+    let cases: &[(&str, u32, &[Option<Outcome>], char)] = &[
+        ("exclusive work that may have run", 3, &[Some(Reset)], 'a'),
+        ("exclusive work that never ran", 3, &[Some(NotSent)], 'p'),
+        ("exclusive work that is out", 3, &[None], 'h'),
+        ("one is out after another that never ran", 3, &[Some(Full), None], 'h'),
+        ("three that never ran", 3, &[Some(Full), Some(NotSent), Some(NoConnection)], 'd'),
+        ("rerunnable work that may have run", 0, &[Some(Reset)], 'p'),
+        (
+            "rerunnable work that may have run three times",
+            0,
+            &[Some(Reset), Some(Error), Some(TimedOut)],
+            'd',
+        ),
+        ("receipted work in its window", 1, &[Some(Reset)], 'p'),
+    ];
+    for (what, project_type, earlier, expected) in cases {
+        let mut node = node(1.0);
+        node.warm(3);
+        node.list(ListKind::Changes, &[listing(9, 9, Phase::Gone, None)]);
+        let (now, wu, executor) = (node.now, WuId(77), ExecutorId(9));
+        let (customer, slots, memory) = (CustomerId(0), 1.0, 0.0);
+        let project_type = ProjectTypeId(*project_type);
+        let arrived = Event::Arrived { wu, project_type, customer, slots, memory, left: 900.0, again: true };
+        node.node.tell(now, arrived);
+        for (number, outcome) in earlier.iter().enumerate() {
+            node.node.tell(now, Event::Recovered { wu, executor, sent: now - 50.0 });
+            if let Some(outcome) = *outcome {
+                let alloc = AllocId(number as u32);
+                node.node.tell(now, Event::Ended { wu, alloc, outcome, closed: false });
+            }
+        }
+        let emitted = node.emit();
+        let actions = node.answer(emitted, |_| 0.0);
+        let pushed = push_of(&actions).is_some();
+        assert_eq!(if pushed { 'p' } else { said(&actions) }, *expected, "{what}");
+        if earlier.last() == Some(&None) {
+            // Its end is told in the end, by whoever was asked.
+            let ended = node.end(wu, earlier.len() as u32 - 1, NotSent);
+            assert!(push_of(&node.answer(ended, |_| 0.0)).is_some(), "{what}");
+        }
+    }
+}
+
 /// A receipted work unit that may have run stays in its group, and is not sent once the window is over.
 #[test]
 fn receipts_hold_in_their_group_and_window() {
