--- a/crates/rehearsal/src/run.rs
+++ b/crates/rehearsal/src/run.rs
@@ -25,6 +25,9 @@
 /// Clients that are so late with one request in a hundred are no longer those of the scenario.
 const LATE_MS: f64 = 25.0;
 const LOOK_EVERY: Duration = Duration::from_millis(10);
+/// Processes and listeners of one rehearsal; in simulated time there may be more.
+pub const MOST_NODES: usize = 64;
+pub const MOST_EXECUTORS: usize = 1000;
 /// Requests a second; at more, the executors' thread was seen to fall behind (docs/rehearsal.md).
 pub const MOST_RATE: f64 = 10_000.0;
 
@@ -96,6 +99,14 @@
 /// # Errors
 /// One line that says what is short.
 pub fn check_machine(scenario: &Scenario, plan: &Plan) -> Result<(), Failed> {
+    let (nodes, executors) = (scenario.nodes.count, plan.executors.len());
+    if nodes > MOST_NODES || executors > MOST_EXECUTORS {
+        let what = format!(
+            "the scenario has {nodes} nodes and {executors} executors; a rehearsal has {MOST_NODES} and \
+             {MOST_EXECUTORS} at most, `troutknot simulate` carries more"
+        );
+        return Err(Failed::Machine(what));
+    }
     let needed = descriptors_needed(scenario, plan);
     let Rlimit { current, maximum } = getrlimit(Resource::Nofile);
     if current.is_some_and(|current| current < needed) {
--- a/crates/rehearsal/src/scenario.rs
+++ b/crates/rehearsal/src/scenario.rs
@@ -8,8 +8,8 @@
 
 /// Times of one day at most, so that a slip of the pen does not run for ever.
 const LONGEST: Duration = Duration::from_secs(3600);
-pub const MOST_EXECUTORS: usize = 1000;
-pub const MOST_NODES: usize = 64;
+pub const MOST_EXECUTORS: usize = 3000;
+pub const MOST_NODES: usize = 1000;
 pub const MOST_REQUESTS: f64 = 5e6;
 
 #[derive(Deserialize, Clone, Debug)]
