--- a/crates/daemon/src/durable/mod.rs
+++ b/crates/daemon/src/durable/mod.rs
@@ -29,7 +29,7 @@
 use troutknot_ledger::{Answer as Kept, Digest, Ledger, Record, Row, Standing};
 
 /// How often what is kept no longer is looked for, and how much of it goes at once.
-const FORGET_EVERY: Duration = Duration::from_secs(1);
+const FORGET_EVERY: Duration = Duration::from_millis(200);
 const MOST_FORGOTTEN: usize = 1000;
 /// An answer whose record the disk did not take is tried again after so long.
 const WRITE_AGAIN: Duration = Duration::from_millis(200);
@@ -436,9 +436,19 @@
         loop {
             sleep(FORGET_EVERY).await;
             let then = self.now() - self.terms.kept.as_secs_f64() * 1000.0;
-            let old = self.ledger.borrow().answered_before(then, MOST_FORGOTTEN);
-            for wu in old.into_iter().filter(|wu| !self.joints.borrow().contains_key(wu)) {
-                self.later(Record::Forgotten { wu });
+            loop {
+                let mut old = self.ledger.borrow().answered_before(then, MOST_FORGOTTEN);
+                // Guards against a ledger that fills up as more is answered than is forgotten at a time.
+                let goes_on = old.len() == MOST_FORGOTTEN;
+                old.retain(|wu| !self.joints.borrow().contains_key(wu));
+                let some = !old.is_empty();
+                for wu in old {
+                    self.later(Record::Forgotten { wu });
+                }
+                if !(goes_on && some) {
+                    break;
+                }
+                tokio::task::yield_now().await;
             }
         }
     }
