A result whose end is on record and whose answer is not is asked for, not aborted

Read of the change: an allocation's end may be written before the work unit's answer. A node that died between them took the end for known, and aborted exclusive work whose executor still had the result. It is now settled like one that was out; a test commits that very state.

--- a/crates/daemon/src/durable/mod.rs
+++ b/crates/daemon/src/durable/mod.rs
@@ -419,7 +419,12 @@
             let of = |(number, a): (usize, &troutknot_ledger::Allocation)| Earlier {
                 executor: a.executor.clone(),
                 sent: a.at,
-                outcome: if a.fenced { Some(troutknot::Outcome::NotSent) } else { a.ended },
+                outcome: match a.ended {
+                    _ if a.fenced => Some(troutknot::Outcome::NotSent),
+                    // Its answer is not on record: its executor may still have the result.
+                    Some(troutknot::Outcome::Completed) => None,
+                    other => other,
+                },
                 lease: Lease::new(self.clone(), wu, number, a.fence, a.at),
             };
             known.allocations.iter().enumerate().map(of).collect()
--- a/crates/daemon/tests/durable.rs
+++ b/crates/daemon/tests/durable.rs
@@ -171,6 +171,24 @@
     }
 }
 
+#[test]
+fn a_result_whose_end_is_on_record_and_whose_answer_is_not_is_asked_for() {
+    let (executor, discovery) = one_executor();
+    let place = place(FENCES);
+    die_with_one_out(&discovery, &place, &executor, Act::Silent, &keyed("publish", "a1", "k", "b"));
+    {
+        let store = Store::open(place.ledger.as_ref()).unwrap();
+        let rows = store.of(troutknot::WuId(0)).unwrap();
+        let (wu, alloc, outcome) = (troutknot::WuId(0), troutknot::AllocId(0), troutknot::Outcome::Completed);
+        let (at, number) = (rows.last().unwrap().at, rows.len() as u32);
+        store.commit(&[Row { at, place: number, record: Record::Ended { wu, alloc, outcome } }]).unwrap();
+    }
+    *executor.fates.lock().unwrap() = vec![json!({"state": "done", "result": "late"})].into();
+    let node = start(&discovery, &place);
+    assert_eq!(node.ask(keyed("publish", "a2", "k", "b")).1.1, b"late");
+    assert_eq!(executor.seen.lock().unwrap().len(), 1);
+}
+
 #[test]
 fn executors_that_know_no_fences_get_nothing_exclusive_again() {
     for (kind, status, sent) in [("publish", 502, 1), ("render", 200, 2)] {
--- a/crates/ledger/tests/common/mod.rs
+++ b/crates/ledger/tests/common/mod.rs
@@ -26,10 +26,9 @@
     points: u64,
     /// From this point on nothing works.
     fails_at: Option<u64>,
-    /// Only points of this kind count: syncs.
+    /// How long each sync takes.
     slow_sync: Duration,
-    pub errs: bool,
-    read_only: bool,
+    errs: bool,
 }
 
 /// Shared by all who open it, one after the other.
