Nodes turned away by the list ask again spread out, not all together

Checked: counted over the logs of all nodes with new debug lines (list, probes, ends, deferrals; off by default).

At fault: Event::ListLost in src/rules.rs, whose waits end at a quarter of the span however many ask. A call that failed is now made again at any moment of 100 ms a node, up to 0.7 of that span; a list that stood is asked for at once as before.

--- a/crates/daemon/src/driver.rs
+++ b/crates/daemon/src/driver.rs
@@ -23,6 +23,8 @@
     allocs: u32,
     /// Stops the allocation that is out.
     stop: Rc<Stop>,
+    /// Where the last allocation went and when it was decided, for the log.
+    pushed: Option<(ExecutorId, Instant)>,
 }
 
 pub struct Driver {
@@ -119,7 +121,8 @@
                     left,
                     again: work.again,
                 };
-                self.open.insert(exchange.wu, Open { exchange, allocs: 0, stop: Rc::default() });
+                self.open
+                    .insert(exchange.wu, Open { exchange, allocs: 0, stop: Rc::default(), pushed: None });
                 told
             }
             Event::Recovered(exchange, earlier) => return self.recovered(now, exchange, earlier),
@@ -129,12 +132,25 @@
             }
             Event::Heard(Heard::Ended { wu, alloc, outcome, .. }) => {
                 let closed = self.open.get(&wu).is_none_or(|open| open.exchange.is_over());
+                if let Some((open, (executor, at))) = self.open.get(&wu).and_then(|o| Some((o, o.pushed?))) {
+                    let (ran, kind) =
+                        (at.elapsed().as_secs_f64() * 1000.0, open.exchange.work.project_type.0);
+                    let name = self.numbers.name(executor);
+                    tracing::debug!("ended: type {kind} alloc {} at {name} {outcome:?} {ran:.1} ms", alloc.0);
+                }
                 if closed {
                     self.open.remove(&wu);
                 }
                 Heard::Ended { wu, alloc, outcome, closed }
             }
-            Event::Heard(heard) => heard,
+            Event::Heard(heard) => {
+                if let Heard::Probed { executor, answered, lag, reading } = &heard {
+                    let name = self.numbers.name(*executor);
+                    let (queue, free) = (reading.queue, reading.free_slots);
+                    tracing::debug!("probed: {name} {answered} {lag:.1} ms queue {queue:?} free {free:?}");
+                }
+                heard
+            }
             Event::List(kind, entries) => self.list(kind, entries),
             Event::OutOfTime => {
                 self.out_of_time = true;
@@ -196,6 +212,7 @@
                 listing.phase = Phase::Draining;
             }
             self.executors.listed(executor, addr, listing.started, listing.phase == Phase::Healthy);
+            tracing::debug!("listed: {} {:?} started {:?}", entry.id, listing.phase, listing.started);
             missing.remove(&executor);
             told.push(listing);
         }
@@ -223,6 +240,7 @@
                 }
                 let cut = self.clock.when(cut_at).min(open.exchange.limit);
                 let decided = Instant::now();
+                open.pushed = Some((executor, decided));
                 let (exchange, stop) = (open.exchange.clone(), open.stop.clone());
                 let name = exchange.durable.get().map(|_| self.numbers.name(executor).to_string());
                 let push = Push { exchange, executor, name, alloc, decided, cut, stop };
@@ -238,6 +256,7 @@
             Action::Defer { wu, come_back } => self.finish(wu, Answer::Deferred(come_back)),
             Action::Abort { wu } => self.finish(wu, Answer::Aborted),
             Action::Probe { executor } => {
+                tracing::debug!("probe: {}", self.numbers.name(executor));
                 tokio::task::spawn_local(self.executors.clone().probe(executor));
             }
             Action::Wake { at } => {
@@ -251,6 +270,11 @@
 
     fn finish(&mut self, wu: WuId, answer: Answer) {
         if let Some(open) = self.open.remove(&wu) {
+            let kind = open.exchange.work.project_type.0;
+            match answer {
+                Answer::Deferred(_) => tracing::debug!("deferred: type {kind} after {}", open.allocs),
+                _ => tracing::debug!("aborted: type {kind} after {}", open.allocs),
+            }
             open.exchange.answer(answer);
         }
     }
--- a/crates/daemon/src/lists/platform.rs
+++ b/crates/daemon/src/lists/platform.rs
@@ -95,6 +95,7 @@
         if head.status != 200 {
             return Err(format!("status {}", head.status));
         }
+        tracing::debug!("watch of the list stands");
         // The watch stands, even if the list follows late.
         let none = Heard::ListTold { kind: ListKind::Changes, entries: Vec::new() };
         self.told.event(Event::Heard(none)).await?;
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -42,6 +42,10 @@
 const SPAN: Millis = 2000.0;
 const LEAST_SAVED: f64 = 3.0;
 const PICKS: usize = 40;
+/// How far apart nodes that were not answered ask for the list, and the part of the span in which a node has
+/// to ask that all of them together take at most.
+const ASK_APART: Millis = 100.0;
+const ASK_WITHIN: f64 = 0.7;
 /// What it gains to find all slots of an executor free and not none, in what a probe may cost.
 const EMPTIER: f64 = 60.0;
 
@@ -165,6 +169,8 @@
 
 struct Following {
     ask_at: Millis,
+    /// Whether the list has been told since it was last lost: the first loss after that is no failed call.
+    stood: bool,
     failures: u32,
     ask_every: Millis,
 }
@@ -370,7 +376,7 @@
             wakes: BTreeSet::new(),
             wake_set: f64::INFINITY,
             monitoring: Monitoring { draws: 2, at: now, price, ..Monitoring::default() },
-            following: Following { ask_at, failures: 0, ask_every },
+            following: Following { ask_at, stood: false, failures: 0, ask_every },
             log: Vec::new(),
         }
     }
@@ -384,7 +390,12 @@
                 let f = &mut self.following;
                 f.failures = (f.failures + 1).min(6);
                 let wait = (100.0 * f64::powi(2.0, f.failures as i32)).min(f.ask_every / 4.0);
-                f.ask_at = now + wait * self.rng.random_range(0.5..1.0);
+                // Guards against many nodes that ask so often together that each call waits past its time
+                // and none is answered: what failed is asked again spread over a span for all of them.
+                let all = ((self.nodes - 1.0) * ASK_APART).min(f.ask_every * ASK_WITHIN);
+                let spread = if std::mem::take(&mut f.stood) { 0.0 } else { all };
+                let wait = wait * self.rng.random_range(0.5..1.0) + spread * self.rng.random::<f64>();
+                f.ask_at = now + wait;
                 self.log.push(format!("list lost: failure {}, asking in {wait:.0} ms", f.failures));
             }
             Event::Arrived { wu, project_type, customer, slots, left, again, .. } => {
@@ -447,6 +458,7 @@
         entries.iter().for_each(|entry| self.fleet.list(entry));
         let healthy = self.fleet.listed.iter().filter(|l| l.phase == Phase::Healthy);
         self.fleet.healthy = healthy.map(|l| l.executor).collect();
+        self.following.stood |= kind != ListKind::Saved;
         if kind != ListKind::Saved && self.following.failures > 0 {
             self.log.push(format!("list back after {} failures", self.following.failures));
             self.following.failures = 0;
--- a/tests/helpers/mod.rs
+++ b/tests/helpers/mod.rs
@@ -56,7 +56,11 @@
 }
 
 pub fn with(values: NamedValues) -> Node {
-    Node { node: Dispatcher::new(values, 11, 0.0), now: 0.0, next: 0 }
+    with_seed(values, 11)
+}
+
+pub fn with_seed(values: NamedValues, seed: u64) -> Node {
+    Node { node: Dispatcher::new(values, seed, 0.0), now: 0.0, next: 0 }
 }
 
 pub fn listing(executor: u32, group: u32, phase: Phase, started: Option<Millis>) -> Listing {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -213,6 +213,40 @@
     }
 }
 
+/// A hundred nodes whose calls fail together ask spread over most of the span that they have; few nodes, and
+/// any after a list that stood, ask soon.
+#[test]
+fn many_nodes_that_are_turned_away_do_not_ask_in_step() {
+    for (nodes, stood, soonest, latest) in
+        [(100.0, false, 5000.0, 9500.0), (100.0, true, 0.0, 200.0), (2.0, false, 0.0, 500.0)]
+    {
+        let waits: Vec<f64> = (0..100)
+            .map(|seed| {
+                let mut node = with_seed(values_of(nodes, None), seed);
+                node.warm(2);
+                if !stood {
+                    node.tell(Event::ListLost);
+                    node.now = 20_000.0;
+                    node.tell(Event::TimerFired);
+                }
+                let actions = node.tell(Event::ListLost);
+                actions
+                    .iter()
+                    .find_map(|a| if let Action::Wake { at } = a { Some(at - node.now) } else { None })
+            })
+            .map(|wait| wait.expect("a time to ask again"))
+            .collect();
+        let last = waits.iter().copied().fold(0.0, f64::max);
+        assert!(
+            last >= soonest && last <= latest,
+            "{nodes} nodes, list stood {stood}: the last after {last}"
+        );
+        // In no half second does a quarter of them ask.
+        let most = (0..20).map(|k| waits.iter().filter(|&&w| (w / 500.0) as i32 == k).count()).max();
+        assert!(soonest == 0.0 || most < Some(25), "{most:?}");
+    }
+}
+
 /// What is no longer known changes nothing, and the same events give the same actions.
 #[test]
 fn stale_events_and_repetition() {
