Slowness while cold costs an executor no trust and makes work look no larger

Checked, from the logs of all nodes by the executor's age: fresh ones are 60% of the fleet and get 5 to 14% of the probes; their running times are five times the usual at first and the usual ones after 10 s.

At fault: on_ended in src/rules.rs. A cold executor's running time counted as slowness (distrust on top of being passed over for its warmth) and went into the usual running time, in which the cold budget is reckoned. It is now judged by its running time times its warmth at the send, and running times are learned at warm executors alone.

Test: slow_while_cold_is_no_fault_and_no_size fails without the change (drawn 169 for 216).

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -518,18 +518,24 @@
         let Some(w) = self.wus.get_mut(&wu) else { return };
         let Some(a) = w.allocs.get_mut(alloc.0 as usize).filter(|a| a.outcome.is_none()) else { return };
         a.outcome = Some(outcome);
-        let (executor, e) = (a.executor, a.executor.0 as usize);
-        self.fleet.own_change(e, now, -w.slots);
+        let (executor, e, sent) = (a.executor, a.executor.0 as usize, a.sent);
+        let (project_type, slots) = (w.project_type, w.slots);
+        self.fleet.own_change(e, now, -slots);
         // Only executors that showed room are sent to; one that is full all the same reports wrongly.
         if !matches!(outcome, Outcome::Completed | Outcome::NotSent | Outcome::Cancelled) {
             self.fleet.add_distrust(e, now, 1.0);
         }
         if outcome == Outcome::Completed {
-            let ran = now - a.sent;
-            let kind = &mut self.types[w.project_type];
-            kind.runs_seen += 1.0;
-            kind.run += (ran - kind.run) * RUN_WEIGHT.max(1.0 / kind.runs_seen);
-            self.fleet.mean_run += (ran - self.fleet.mean_run) * RUN_WEIGHT;
+            // Guards against fresh executors that stay idle: that one is slow while it is cold says nothing of
+            // how it does, and nothing of how much work a work unit is.
+            let warmth = self.warmth(e, sent);
+            let ran = (now - sent) * warmth;
+            let kind = &mut self.types[project_type];
+            if warmth >= 1.0 {
+                kind.runs_seen += 1.0;
+                kind.run += (ran - kind.run) * RUN_WEIGHT.max(1.0 / kind.runs_seen);
+                self.fleet.mean_run += (ran - self.fleet.mean_run) * RUN_WEIGHT;
+            }
             // Guards against slow executors; the logarithm forgives the long tail of ordinary running times.
             self.fleet.add_distrust(e, now, SLOW_DISTRUST * (ran / kind.run).ln().max(0.0));
         }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -546,3 +546,41 @@
         assert!(expected.contains(&probes), "{probes} for 100, price {price}, {free} free");
     }
 }
+
+/// A cold executor runs all work several times longer: that must cost it neither trust nor make work look too
+/// large for its budget, or fresh executors stay idle while the others queue.
+#[test]
+fn slow_while_cold_is_no_fault_and_no_size() {
+    let drawn_and_sent = |slow: bool| {
+        let mut node = node(1.0);
+        let fresh = |e| if e < 4 { None } else { Some(0.0) };
+        let entries: Vec<Listing> = (0..8).map(|e| listing(e, e, Phase::Healthy, fresh(e))).collect();
+        node.list(ListKind::Whole, &entries);
+        for _ in 0..30 {
+            let (wu, executor) = node.pushed(0);
+            let warmth = 0.25 + 0.75 * node.now / 10_000.0;
+            node.now += if executor.0 >= 4 && slow { 50.0 / warmth } else { 50.0 };
+            node.end(wu, 0, Outcome::Completed);
+        }
+        node.now = node.now.max(4000.0);
+        let drawn = (0..600).filter(|_| {
+            let (wu, actions) = node.arrive(0);
+            let first = actions
+                .iter()
+                .find_map(|a| if let Action::Probe { executor } = a { Some(executor.0) } else { None });
+            node.tell(Event::Withdrawn { wu });
+            node.answer(actions, |_| 0.0);
+            first.expect("somebody is drawn") >= 4
+        });
+        let drawn = drawn.count();
+        node.list(ListKind::Whole, &entries[7..]);
+        let sent = (0..600).filter(|_| {
+            let (_, actions) = node.arrive(0);
+            push_of(&node.answer(actions, |_| 0.0)).is_some()
+        });
+        (drawn, sent.count())
+    };
+    let (usual, slow) = (drawn_and_sent(false), drawn_and_sent(true));
+    assert!(slow.0 as f64 > 0.85 * usual.0 as f64, "drawn {} of 600 where slow, else {}", slow.0, usual.0);
+    assert!(slow.1 as f64 > 0.85 * usual.1 as f64, "sent {} where slow, else {}", slow.1, usual.1);
+}
