A fault is remembered until its executor is met again, also by one node of a hundred

Seen: on zone+vast seven of 60 executors fail half of their work at once for 12 s; a tenth of all allocations end in an error and 2% of the work units, the exclusive ones, are aborted, with no decline over time.

Checked, counted over all nodes: the errors stand at seven executors, connections and probes there are good. A node takes ten work units a second and meets an executor every six seconds; distrust fades by four, so four fifths of the chance are back by then.

At fault: DISTRUST_FADE as the only clock of add_distrust and let_through in src/rules.rs. Distrust now stands for four meetings (4 to 30 s), and a fault weighs in proportion, three times at the most.

Test: a_fault_is_remembered_until_an_executor_is_met_again.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -30,6 +30,11 @@
 const SLOW_DISTRUST: f64 = 0.7;
 /// Past so many outcomes each one more takes the place of one: a score tells how and not how much is done.
 const ENOUGH: f64 = 12.0;
+/// A node that meets each executor seldom distrusts it for so many meetings, within a bound, and one fault counts
+/// for as many as it would else have met in that time, up to a bound.
+const MEETINGS: f64 = 4.0;
+const LONGEST_FADE: Millis = 30_000.0;
+const MOST_FAULT: f64 = 3.0;
 /// Part of the cold budget that is used, as only mean running times are known; to so many nodes it is dealt.
 const COLD_HEADROOM: f64 = 0.8;
 const DEALT: u64 = 4;
@@ -101,6 +106,8 @@
     late_share: f64,
     late: bool,
     late_until: Millis,
+    /// Own outcomes of late, fading, and when that was counted.
+    met: (f64, Millis),
     /// This node's part of what all share.
     part: f64,
     /// Work units that wait for the probe that is wanted or out.
@@ -258,10 +265,23 @@
         self.listed[e] = *entry;
     }
 
+    /// How long distrust stands, so that it outlives the time until the next meeting.
+    fn fade(&self, now: Millis) -> Millis {
+        let met_every =
+            DISTRUST_FADE * self.healthy.len().max(1) as f64 / faded(self.met, now, DISTRUST_FADE);
+        (MEETINGS * met_every).clamp(DISTRUST_FADE, LONGEST_FADE)
+    }
+
+    /// Something failed there. Guards against an executor that fails at once and that each of many nodes meets
+    /// once in seconds: by the time it is met again, nothing would be left of what it did.
+    fn fault(&mut self, e: usize, now: Millis) {
+        self.add_distrust(e, now, (self.fade(now) / DISTRUST_FADE).min(MOST_FAULT));
+    }
+
     fn add_distrust(&mut self, e: usize, now: Millis, by: f64) {
         let seen = faded(self.judged[e], now, DISTRUST_FADE) + 1.0;
         let kept = (ENOUGH / seen).min(1.0);
-        self.failed[e] = ((faded(self.failed[e], now, DISTRUST_FADE) + by) * kept, now);
+        self.failed[e] = ((faded(self.failed[e], now, self.fade(now)) + by) * kept, now);
         self.judged[e] = (seen * kept, now);
     }
 
@@ -497,7 +517,7 @@
                 self.fleet.read_at[e] = now;
             }
         } else {
-            self.fleet.add_distrust(e, now, 1.0);
+            self.fleet.fault(e, now);
         }
         for wu in std::mem::take(&mut self.fleet.awaiting[e]) {
             let Some(w) = self.wus.get_mut(&wu) else { continue };
@@ -521,9 +541,10 @@
         let (executor, e, sent) = (a.executor, a.executor.0 as usize, a.sent);
         let (project_type, slots) = (w.project_type, w.slots);
         self.fleet.own_change(e, now, -slots);
+        self.fleet.met = (faded(self.fleet.met, now, DISTRUST_FADE) + 1.0, now);
         // Only executors that showed room are sent to; one that is full all the same reports wrongly.
         if !matches!(outcome, Outcome::Completed | Outcome::NotSent | Outcome::Cancelled) {
-            self.fleet.add_distrust(e, now, 1.0);
+            self.fleet.fault(e, now);
         }
         if outcome == Outcome::Completed {
             // Guards against fresh executors that stay idle: that one is slow while it is cold says nothing of
@@ -663,7 +684,7 @@
     /// Chance by warmth and by trust decides who of the allowed is ready.
     fn let_through(&mut self, now: Millis, executor: ExecutorId) -> bool {
         let e = executor.0 as usize;
-        let chance = self.warmth(e, now) * (-faded(self.fleet.failed[e], now, DISTRUST_FADE)).exp();
+        let chance = self.warmth(e, now) * (-faded(self.fleet.failed[e], now, self.fleet.fade(now))).exp();
         chance > 0.98 || self.rng.random::<f64>() < chance
     }
 
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -584,3 +584,39 @@
     assert!(slow.0 as f64 > 0.85 * usual.0 as f64, "drawn {} of 600 where slow, else {}", slow.0, usual.0);
     assert!(slow.1 as f64 > 0.85 * usual.1 as f64, "sent {} where slow, else {}", slow.1, usual.1);
 }
+
+/// One fault of an executor, then work elsewhere until a node that meets each of 60 once in six seconds would
+/// meet it again: it is passed over. With five executors and the same traffic it is tried again by then.
+#[test]
+fn a_fault_is_remembered_until_an_executor_is_met_again() {
+    for (executors, shun) in [(60, true), (5, false)] {
+        let mut node = node(if shun { 100.0 } else { 1.0 });
+        node.warm(executors);
+        let mut bad = None;
+        for k in 0..100 {
+            let (wu, executor) = node.pushed(0);
+            node.now += 100.0;
+            if k == 40 {
+                bad = Some(executor);
+                let actions = node.end(wu, 0, Outcome::Error);
+                push_of(&node.answer(actions, |_| 0.0)).expect("it may run again");
+                node.end(wu, 1, Outcome::Completed);
+            } else {
+                node.end(wu, 0, Outcome::Completed);
+            }
+        }
+        let arrivals = 40 * executors;
+        let draws_it = |_: &u32| {
+            let (wu, actions) = node.arrive(0);
+            let drawn = actions.contains(&Action::Probe { executor: bad.unwrap() });
+            node.tell(Event::Withdrawn { wu });
+            node.answer(actions, |_| 0.0);
+            drawn
+        };
+        let share = (0..arrivals).filter(draws_it).count() as f64 / 40.0;
+        assert!(
+            if shun { share < 0.4 } else { share > 0.6 },
+            "{executors}: drawn {share:.2} times an even part"
+        );
+    }
+}
