Fresh executors drawn by the root of their warmth, their budget dealt to eight nodes

Checked, over the logs of all nodes: running times at fresh executors are 0.27 to 0.88 of the usual speed after 3 to 11 s where the slowest ramp says 0.24 to 0.55; with the budget dealt to four of 100 nodes a quarter of the nodes has no fresh executor at all; a node with ten work units a second and 60 ms of patience holds nothing at most times, so the mode of one draw while work is held never acts.

Change: DEALT 8; let_through by the root of the least warmth, the budget untouched; room_is_short, for one of several nodes, also from 0.3 of the answers with a queue.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -37,7 +37,7 @@
 const MOST_FAULT: f64 = 3.0;
 /// Part of the cold budget that is used, as only mean running times are known; to so many nodes it is dealt.
 const COLD_HEADROOM: f64 = 0.8;
-const DEALT: u64 = 4;
+const DEALT: u64 = 8;
 /// A receipted work unit is resent only this part into its window, for the way there and clocks that differ.
 const WINDOW_MARGIN: f64 = 0.8;
 /// Part of the time that a mean work unit has to spare within its promised turnaround; short ones have less.
@@ -47,6 +47,8 @@
 const SPAN: Millis = 2000.0;
 const LEAST_SAVED: f64 = 3.0;
 const PICKS: usize = 40;
+/// From this smoothed share of answers with a queue on, room is short everywhere, also where none is held here.
+const SHORT_SHARE: f64 = 0.3;
 /// How far apart nodes that were not answered ask for the list, and the part of the span in which a node has
 /// to ask that all of them together take at most.
 const ASK_APART: Millis = 100.0;
@@ -681,10 +683,12 @@
         in_scope && able && self.cold_room(e, now) >= self.cost(w)
     }
 
-    /// Chance by warmth and by trust decides who of the allowed is ready.
+    /// Chance by warmth and by trust decides who of the allowed is ready. The budget goes by the slowest ramp and
+    /// the lowest start that can be; chance by the square root of that, which is about what executors show.
     fn let_through(&mut self, now: Millis, executor: ExecutorId) -> bool {
         let e = executor.0 as usize;
-        let chance = self.warmth(e, now) * (-faded(self.fleet.failed[e], now, self.fleet.fade(now))).exp();
+        let chance =
+            self.warmth(e, now).sqrt() * (-faded(self.fleet.failed[e], now, self.fleet.fade(now))).exp();
         chance > 0.98 || self.rng.random::<f64>() < chance
     }
 
@@ -711,6 +715,12 @@
         (!left.is_empty()).then(|| left[self.rng.random_range(0..left.len())])
     }
 
+    /// Work is held, or answers show it: one of many nodes has too little work to hold some at most times.
+    fn room_is_short(&self) -> bool {
+        let shown = self.nodes > 1.0 && self.monitoring.waiting_share.unwrap_or(0.0) > SHORT_SHARE;
+        shown || !self.held.is_empty()
+    }
+
     /// Draws d ready executors with replacement and wants a probe to each distinct one.
     fn draw(&mut self, now: Millis, wu: WuId) {
         let Some(w) = self.wus.get(&wu) else { return };
@@ -721,8 +731,8 @@
         let mut but: Vec<ExecutorId> = w.allocs.iter().map(|a| a.executor).collect();
         but.extend(w.drawn.iter().filter(|_| w.draws == 1));
         self.recompute_draws(now);
-        // While others are held room is short everywhere: one draw, for each probe is priced.
-        let draws = if self.held.is_empty() { self.monitoring.draws } else { 1 };
+        // Where room is short everywhere: one draw, for each probe is priced.
+        let draws = if self.room_is_short() { 1 } else { self.monitoring.draws };
         let mut drawn: Vec<ExecutorId> = Vec::with_capacity(draws as usize);
         for _ in 0..draws {
             drawn.extend(self.pick(now, wu, &but).filter(|x| !drawn.contains(x)));
@@ -800,7 +810,7 @@
         if !answered && draws >= 2 {
             // No answer at all: one more draw, then one of the ready at random.
             best.extend(self.pick(now, wu, &[]));
-        } else if answered && least.0 >= 0.5 && (draws >= 2 || !self.held.is_empty()) {
+        } else if answered && least.0 >= 0.5 && (draws >= 2 || self.room_is_short()) {
             // Every answer is long: one more draw, then a short hold, as what is in a queue cannot be moved.
             return self.hold(now, wu);
         }
