Cold executors are drawn by the root of their warmth only where room is short

Cause: let_through in src/rules.rs took the root at all times; where there is room elsewhere a cold executor that is drawn more often only runs work slowly. It now goes by the root while room is short everywhere, by answers or by held work.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -684,11 +684,13 @@
     }
 
     /// Chance by warmth and by trust decides who of the allowed is ready. The budget goes by the slowest ramp and
-    /// the lowest start that can be; chance by the square root of that, which is about what executors show.
+    /// the lowest start that can be; where room is short so that a cold one serves better than a queue, chance
+    /// goes by the square root of that, which is about what executors show.
     fn let_through(&mut self, now: Millis, executor: ExecutorId) -> bool {
         let e = executor.0 as usize;
-        let chance =
-            self.warmth(e, now).sqrt() * (-faded(self.fleet.failed[e], now, self.fleet.fade(now))).exp();
+        let warmth = self.warmth(e, now);
+        let warmth = if self.room_is_short() { warmth.sqrt() } else { warmth };
+        let chance = warmth * (-faded(self.fleet.failed[e], now, self.fleet.fade(now))).exp();
         chance > 0.98 || self.rng.random::<f64>() < chance
     }
 
