--- a/src/rules.rs
+++ b/src/rules.rs
@@ -550,8 +550,8 @@
         }
         if outcome == Outcome::Completed {
             // Guards against fresh executors that stay idle: that one is slow while it is cold says nothing of
-            // how it does, and nothing of how much work a work unit is.
-            let warmth = self.warmth(e, sent);
+            // how it does, and nothing of how much work a work unit is. Few nodes gain by going elsewhere.
+            let warmth = if self.are_many() { self.warmth(e, sent) } else { 1.0 };
             let ran = (now - sent) * warmth;
             let kind = &mut self.types[project_type];
             if warmth >= 1.0 {
@@ -684,12 +684,12 @@
     }
 
     /// Chance by warmth and by trust decides who of the allowed is ready. The budget goes by the slowest ramp and
-    /// the lowest start that can be; where room is short so that a cold one serves better than a queue, chance
-    /// goes by the square root of that, which is about what executors show.
+    /// the lowest start that can be. Where many nodes see room short, and small parts of the budget hold each
+    /// of them back, chance goes by the square root of that, which is about what executors show.
     fn let_through(&mut self, now: Millis, executor: ExecutorId) -> bool {
         let e = executor.0 as usize;
         let warmth = self.warmth(e, now);
-        let warmth = if self.room_is_short() { warmth.sqrt() } else { warmth };
+        let warmth = if self.shown_short() { warmth.sqrt() } else { warmth };
         let chance = warmth * (-faded(self.fleet.failed[e], now, self.fleet.fade(now))).exp();
         chance > 0.98 || self.rng.random::<f64>() < chance
     }
@@ -719,8 +719,16 @@
 
     /// Work is held, or answers show it: one of many nodes has too little work to hold some at most times.
     fn room_is_short(&self) -> bool {
-        let shown = self.nodes > 1.0 && self.monitoring.waiting_share.unwrap_or(0.0) > SHORT_SHARE;
-        shown || !self.held.is_empty()
+        !self.held.is_empty() || self.shown_short()
+    }
+
+    /// Whether there are more nodes than a cold budget is dealt to, so that small parts of it hold each back.
+    fn are_many(&self) -> bool {
+        self.nodes > DEALT as f64
+    }
+
+    fn shown_short(&self) -> bool {
+        self.are_many() && self.monitoring.waiting_share.unwrap_or(0.0) > SHORT_SHARE
     }
 
     /// Draws d ready executors with replacement and wants a probe to each distinct one.
