--- a/src/rules.rs
+++ b/src/rules.rs
@@ -30,8 +30,8 @@
 const SLOW_DISTRUST: f64 = 0.7;
 /// Past so many outcomes each one more takes the place of one: a score tells how and not how much is done.
 const ENOUGH: f64 = 12.0;
-/// A node that meets each executor seldom distrusts it for so many meetings, within a bound, and one fault counts
-/// for as many as it would else have met in that time, up to a bound.
+/// A node that meets each executor seldom distrusts it for so many meetings, within a bound, and one fault
+/// counts for as many as it would else have met in that time, up to a bound.
 const MEETINGS: f64 = 4.0;
 const LONGEST_FADE: Millis = 30_000.0;
 const MOST_FAULT: f64 = 3.0;
@@ -47,7 +47,8 @@
 const SPAN: Millis = 2000.0;
 const LEAST_SAVED: f64 = 3.0;
 const PICKS: usize = 40;
-/// From this smoothed share of answers with a queue on, room is short everywhere, also where none is held here.
+/// From this smoothed share of answers with a queue on, room is short everywhere, also where none is held
+/// here.
 const SHORT_SHARE: f64 = 0.3;
 /// How far apart nodes that were not answered ask for the list, and the part of the span in which a node has
 /// to ask that all of them together take at most.
@@ -274,8 +275,8 @@
         (MEETINGS * met_every).clamp(DISTRUST_FADE, LONGEST_FADE)
     }
 
-    /// Something failed there. Guards against an executor that fails at once and that each of many nodes meets
-    /// once in seconds: by the time it is met again, nothing would be left of what it did.
+    /// Something failed there. Guards against an executor that fails at once and that each of many nodes
+    /// meets once in seconds: by the time it is met again, nothing would be left of what it did.
     fn fault(&mut self, e: usize, now: Millis) {
         self.add_distrust(e, now, (self.fade(now) / DISTRUST_FADE).min(MOST_FAULT));
     }
@@ -549,8 +550,9 @@
             self.fleet.fault(e, now);
         }
         if outcome == Outcome::Completed {
-            // Guards against fresh executors that stay idle: that one is slow while it is cold says nothing of
-            // how it does, and nothing of how much work a work unit is. Few nodes gain by going elsewhere.
+            // Guards against fresh executors that stay idle: that one is slow while it is cold says nothing
+            // of how it does, and nothing of how much work a work unit is. Few nodes gain by going
+            // elsewhere.
             let warmth = if self.are_many() { self.warmth(e, sent) } else { 1.0 };
             let ran = (now - sent) * warmth;
             let kind = &mut self.types[project_type];
@@ -683,9 +685,10 @@
         in_scope && able && self.cold_room(e, now) >= self.cost(w)
     }
 
-    /// Chance by warmth and by trust decides who of the allowed is ready. The budget goes by the slowest ramp and
-    /// the lowest start that can be. Where many nodes see room short, and small parts of the budget hold each
-    /// of them back, chance goes by the square root of that, which is about what executors show.
+    /// Chance by warmth and by trust decides who of the allowed is ready. The budget goes by the slowest
+    /// ramp and the lowest start that can be. Where many nodes see room short, and small parts of the
+    /// budget hold each of them back, chance goes by the square root of that, which is about what executors
+    /// show.
     fn let_through(&mut self, now: Millis, executor: ExecutorId) -> bool {
         let e = executor.0 as usize;
         let warmth = self.warmth(e, now);
@@ -727,6 +730,7 @@
         self.nodes > DEALT as f64
     }
 
+    /// Whether answers show that room is short everywhere, which a node of few sees by what it holds.
     fn shown_short(&self) -> bool {
         self.are_many() && self.monitoring.waiting_share.unwrap_or(0.0) > SHORT_SHARE
     }
