Operators' calls: executors left out by hand, drains, and a clients' socket that is passed on

The second process of an upgrade could not bind and ended with 1, which is a crash; calls went unanswered; a drained node stayed ready.

A listener of its own where the configuration or ROUTER_MANAGEMENT names one; a roster of who is out between every source of the list and all behind it; stages that follow from the list, a drain and the way out; descriptor ROUTER_PASSED_SOCKET checked and accepted from, left at SIGTERM to the next process.

--- a/crates/daemon/src/briefing.rs
+++ b/crates/daemon/src/briefing.rs
@@ -13,11 +13,17 @@
 /// A file that is longer is not read.
 const MOST_BYTES: u64 = 16 * 1024 * 1024;
 
+/// Names the address where operators call this process, before what the file says.
+const MANAGEMENT: &str = "ROUTER_MANAGEMENT";
+
 #[derive(Deserialize)]
 pub struct Briefing {
     pub name: String,
     pub listen: SocketAddr,
     pub discovery: SocketAddr,
+    /// Where operators call, if they do.
+    #[serde(default)]
+    pub management: Option<SocketAddr>,
     pub seed: String,
     pub limits: BriefedLimits,
     pub known: Option<List>,
@@ -70,7 +76,13 @@
         let mut text = String::new();
         let read = std::fs::File::open(path).and_then(|file| file.take(MOST_BYTES).read_to_string(&mut text));
         read.map_err(|e| format!("cannot read `{shown}`: {e}"))?;
-        serde_json::from_str(&text).map_err(|e| format!("`{shown}`: {e}"))
+        let mut told: Self = serde_json::from_str(&text).map_err(|e| format!("`{shown}`: {e}"))?;
+        // A process that stands in for another has an address of its own.
+        if let Some(own) = std::env::var(MANAGEMENT).ok().filter(|own| !own.is_empty()) {
+            let at = own.parse().map_err(|e| format!("{MANAGEMENT}: `{own}`: {e}"))?;
+            told.management = Some(at);
+        }
+        Ok(told)
     }
 
     pub fn understood(&self) -> Result<Understood, String> {
@@ -85,6 +97,7 @@
         let differ = [
             ("name", self.name != newer.name),
             ("listen", self.listen != newer.listen),
+            ("management", self.management != newer.management),
             ("seed", self.seed != newer.seed),
             ("limits", self.limits != newer.limits),
             ("settings", self.settings != newer.settings),
--- a/crates/daemon/src/clients/mod.rs
+++ b/crates/daemon/src/clients/mod.rs
@@ -10,6 +10,7 @@
 use bytes::BytesMut;
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
@@ -131,13 +132,20 @@
         self.open.borrow().len()
     }
 
-    pub async fn accept(self: Rc<Self>, listener: TcpListener) {
+    /// Accepts connections until the node ends. From a socket that was passed on nothing is accepted before
+    /// the node has its list, nor once it is asked to end: another process has it, too.
+    pub async fn accept(self: Rc<Self>, listener: TcpListener, passed: bool) {
+        let mut stage = self.stage.clone();
+        if passed && stage.wait_for(|stage| *stage != Stage::Starting).await.is_err() {
+            return;
+        }
         loop {
-            while self.connections() >= self.limits.clients + self.limits.turned_away {
-                self.make_room();
-                self.wait_for_an_end().await;
-            }
-            match listener.accept().await {
+            let accepted = tokio::select! {
+                biased;
+                _ = stage.wait_for(|stage| matches!(stage, Stage::Passing | Stage::Closing)), if passed => return,
+                accepted = self.accept_one(&listener) => accepted,
+            };
+            match accepted {
                 Ok((stream, _)) => {
                     let full = !self.room().await;
                     self.take(stream, full);
@@ -151,6 +159,15 @@
         }
     }
 
+    /// Nothing is lost where this is dropped.
+    async fn accept_one(&self, listener: &TcpListener) -> std::io::Result<(TcpStream, SocketAddr)> {
+        while self.connections() >= self.limits.clients + self.limits.turned_away {
+            self.make_room();
+            self.wait_for_an_end().await;
+        }
+        listener.accept().await
+    }
+
     async fn wait_for_an_end(&self) {
         let _ = timeout(self.limits.fresh_settle / 4, self.ended.notified()).await;
     }
@@ -206,7 +223,13 @@
             let worked = standing.worked.get();
             if !connection.has_input() {
                 connection.rest();
-                let until = if worked { Instant::now() + self.limits.client_idle } else { first_due };
+                // Nobody who comes to a node that is empty says nothing for long.
+                let fresh = if stage.borrow().closes_idle() {
+                    first_due.min(Instant::now() + self.limits.fresh_settle)
+                } else {
+                    first_due
+                };
+                let until = if worked { Instant::now() + self.limits.client_idle } else { fresh };
                 if worked {
                     standing.waits.set(Some(Instant::now()));
                 }
@@ -214,7 +237,7 @@
                     biased;
                     more = connection.read() => matches!(more, Ok(n) if n > 0),
                     () = standing.close.notified() => !connection.quiet(),
-                    _ = stage.wait_for(|stage| *stage == Stage::Closing) => !connection.quiet(),
+                    _ = stage.wait_for(|stage| stage.closes_idle()), if worked => !connection.quiet(),
                     () = sleep_until(until) => false,
                 };
                 if !more {
@@ -232,7 +255,14 @@
                 () = sleep_until(due) => Err(Some(408)),
             };
             standing.waits.set(None);
+            let drained = *self.stage.borrow() == Stage::Drained;
             let goes = match came {
+                Ok(Came::Work { .. }) if drained => {
+                    let bad = Answer::Deferred(Some(self.limits.bad_come_back.as_secs_f64() * 1000.0));
+                    let (status, fields, result) = self.words.answer(&bad);
+                    self.write(connection, status, false, &fields, &result).await;
+                    false
+                }
                 Ok(Came::AsksReady) => {
                     // Whoever asks that needs no connection afterwards.
                     let ready = *self.stage.borrow() == Stage::Serving;
@@ -254,7 +284,7 @@
                         Err(status) => return self.reject(connection, standing, status).await,
                     };
                     let room = self.connections() <= self.limits.clients;
-                    let keep = keep && room && *self.stage.borrow() != Stage::Closing;
+                    let keep = keep && room && !self.stage.borrow().ends_connections();
                     let (status, fields, result) = self.words.answer(&answer);
                     let written = self.write(connection, status, keep, &fields, &result).await;
                     if let (true, Some(durable), Some(wu)) = (written, &self.durable, wu) {
@@ -278,7 +308,7 @@
                         Err(Some(status)) => return self.reject(connection, standing, status).await,
                     };
                     let Some(answer) = answer else { return };
-                    let keep = keep && room && *self.stage.borrow() != Stage::Closing;
+                    let keep = keep && room && !self.stage.borrow().ends_connections();
                     let (status, fields, result) = self.words.answer(&answer);
                     self.write(connection, status, keep, &fields, &result).await && keep
                 }
@@ -470,8 +500,9 @@
         let stated = crate::limits::Stated { memory_mb: 64, sockets: 128, ..Default::default() };
         let limits = Rc::new(Limits::of(&stated));
         let (events, mut told) = mpsc::channel(16);
-        let (_stage, staged) = watch::channel(Stage::Serving);
-        let clients = Clients::new(limits, words, events, staged, Rc::default(), None);
+        let stages = crate::stage::Stages::new();
+        stages.change(|life| life.listed = true);
+        let clients = Clients::new(limits, words, events, stages.watch(), Rc::default(), None);
         let whole = "POST /render HTTP/1.1\r\nHost: a\r\nRequest-Id: 1\r\nConnection: close\r\n\
                      Content-Length: 2\r\n\r\nab";
         let local = tokio::task::LocalSet::new();
--- a/crates/daemon/src/driver.rs
+++ b/crates/daemon/src/driver.rs
@@ -3,11 +3,12 @@
 use crate::events::{Earlier, Event};
 use crate::exchange::{Answer, Exchange, Stop};
 use crate::executors::{Executors, Push};
-use crate::stage::Stage;
+use crate::roster::Roster;
+use crate::stage::Stages;
 use crate::words::{Entry, Vocabulary};
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
-use tokio::sync::{Notify, mpsc, watch};
+use tokio::sync::{Notify, mpsc};
 use tokio::time::{Instant, sleep_until};
 use troutknot::{Event as Heard, *};
 use troutknot_hosting::Numbers;
@@ -35,7 +36,8 @@
     follow: Rc<Notify>,
     numbers: Numbers,
     events: mpsc::Receiver<Event>,
-    pub stage: Rc<watch::Sender<Stage>>,
+    stages: Rc<Stages>,
+    roster: Roster,
     open: BTreeMap<WuId, Open>,
     wake: Option<Instant>,
     out_of_time: bool,
@@ -49,7 +51,7 @@
         executors: Rc<Executors>,
         follow: Rc<Notify>,
         events: mpsc::Receiver<Event>,
-        stage: watch::Sender<Stage>,
+        stages: Rc<Stages>,
     ) -> Self {
         Driver {
             dispatcher,
@@ -59,7 +61,8 @@
             follow,
             numbers: Numbers::default(),
             events,
-            stage: Rc::new(stage),
+            stages,
+            roster: Roster::default(),
             open: BTreeMap::new(),
             wake: None,
             out_of_time: false,
@@ -151,7 +154,15 @@
                 }
                 heard
             }
-            Event::List(kind, entries) => self.list(kind, entries),
+            Event::List(kind, entries, version) => self.list(kind, entries, version),
+            Event::LeaveOut { executor, out, done } => {
+                let (known, changed) = self.leave_out(&executor, out);
+                if let Some(told) = changed {
+                    self.dispatcher.tell(now, told);
+                }
+                done.map(|done| done.send(known));
+                return;
+            }
             Event::OutOfTime => {
                 self.out_of_time = true;
                 self.open.values().for_each(|open| open.stop.tell(Outcome::TimedOut));
@@ -179,7 +190,7 @@
             let is_new = !self.numbers.knows(&name);
             let executor = self.numbers.of(&name);
             if is_new {
-                let gone = self.words.listing(&Entry::gone(&name), executor);
+                let gone = self.take(executor, Entry::gone(&name));
                 self.dispatcher.tell(now, Heard::ListTold { kind: ListKind::Changes, entries: vec![gone] });
             }
             self.dispatcher.tell(now, Heard::Recovered { wu, executor, sent });
@@ -195,39 +206,58 @@
         }
     }
 
-    fn list(&mut self, kind: ListKind, entries: Vec<Entry>) -> Heard {
+    fn list(&mut self, kind: ListKind, entries: Vec<Entry>, version: Option<u64>) -> Heard {
         let (mut told, mut left_out) = (Vec::with_capacity(entries.len()), 0);
         // Who is missing from a whole list is gone.
         let whole = kind != ListKind::Changes;
         let mut missing: BTreeSet<_> = self.numbers.all().filter(|_| whole).collect();
-        for entry in &entries {
+        for entry in entries {
             let Some(executor) = self.numbers.of_at_most(&entry.id, self.executors.limits.known) else {
                 left_out += 1;
                 continue;
             };
-            let mut listing = self.words.listing(entry, executor);
-            let addr = entry.addr.parse().ok();
-            if addr.is_none() && listing.phase == Phase::Healthy {
-                tracing::warn!("executor {} has no usable address: `{}`", entry.id, entry.addr);
-                listing.phase = Phase::Draining;
-            }
-            self.executors.listed(executor, addr, listing.started, listing.phase == Phase::Healthy);
-            tracing::debug!("listed: {} {:?} started {:?}", entry.id, listing.phase, listing.started);
             missing.remove(&executor);
-            told.push(listing);
+            told.push(self.take(executor, entry));
         }
         if left_out > 0 {
             tracing::warn!("too many executors were ever listed: {left_out} new ones are left out");
         }
         for executor in missing {
+            self.roster.gone(executor);
             self.executors.shut(executor);
         }
-        if kind != ListKind::Saved && *self.stage.borrow() == Stage::Starting {
-            self.stage.send_replace(Stage::Serving);
+        self.roster.version = version.or(self.roster.version);
+        if kind != ListKind::Saved {
+            self.stages.change(|life| life.listed = true);
         }
         Heard::ListTold { kind, entries: told }
     }
 
+    /// Takes what the list says of one executor, under what operators say of it.
+    fn take(&mut self, executor: ExecutorId, entry: Entry) -> Listing {
+        let entry = self.roster.take(executor, entry);
+        let mut listing = self.words.listing(&entry, executor);
+        let addr = entry.addr.parse().ok();
+        if addr.is_none() && listing.phase == Phase::Healthy {
+            tracing::warn!("executor {} has no usable address: `{}`", entry.id, entry.addr);
+            listing.phase = Phase::Draining;
+        }
+        self.executors.listed(executor, addr, listing.started, listing.phase == Phase::Healthy);
+        tracing::debug!("listed: {} {:?} started {:?}", entry.id, listing.phase, listing.started);
+        listing
+    }
+
+    /// Leaves an executor out by hand, or lets it serve again: whether it is known, and what changes by that.
+    fn leave_out(&mut self, name: &str, out: bool) -> (bool, Option<Heard>) {
+        if !self.numbers.knows(name) {
+            return (false, None);
+        }
+        let executor = self.numbers.of(name);
+        let Some(entry) = self.roster.leave_out(executor, name, out) else { return (true, None) };
+        let entries = vec![self.take(executor, entry)];
+        (true, Some(Heard::ListTold { kind: ListKind::ByHand, entries }))
+    }
+
     fn act(&mut self, action: Action) {
         match action {
             Action::Push { wu, executor, cut_at } => {
--- a/crates/daemon/src/events.rs
+++ b/crates/daemon/src/events.rs
@@ -3,6 +3,7 @@
 use crate::exchange::Exchange;
 use crate::words::Entry;
 use std::rc::Rc;
+use tokio::sync::oneshot;
 use troutknot::{Event as Heard, ListKind, Millis, Outcome, WuId};
 
 /// An allocation of an earlier life of this node.
@@ -23,7 +24,14 @@
     Left(WuId),
     /// What the dispatcher may be told as it is; whether an end closes the work unit is found here.
     Heard(Heard),
-    List(ListKind, Vec<Entry>),
+    /// And its version, where its source counts them.
+    List(ListKind, Vec<Entry>, Option<u64>),
+    /// An operator leaves an executor out, or lets it serve again; who waits hears whether it is known.
+    LeaveOut {
+        executor: String,
+        out: bool,
+        done: Option<oneshot::Sender<bool>>,
+    },
     /// The node ends soon: what is out is cut, and nothing more is sent.
     OutOfTime,
     /// The node ends now: what is open gets its last answer.
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -12,8 +12,11 @@
 mod http1;
 mod limits;
 mod lists;
+mod management;
 mod operator;
+mod passed;
 mod ring;
+mod roster;
 mod stage;
 mod words;
 
@@ -26,8 +29,9 @@
 use executors::Executors;
 use limits::{Limits, Stated};
 use lists::{Told, merge::Merge};
+use management::Management;
 use operator::{OperatorFile, Source};
-use stage::Stage;
+use stage::{Stages, Way};
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -37,7 +41,7 @@
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{Notify, mpsc, watch};
 use tokio::task::{LocalSet, spawn_local};
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, timeout};
 use tracing_appender::non_blocking::NonBlockingBuilder;
 use troutknot::{Dispatcher, ListKind};
 
@@ -69,10 +73,12 @@
 /// # Errors
 /// One plain line that says why the node cannot start, or that its driver has ended.
 pub fn start(path: &Path) -> Result<(), String> {
+    // Before anything else is opened, so that the descriptor is the one that was passed on.
+    let passed = passed::listener(std::env::var("ROUTER_PASSED_SOCKET").ok().as_deref())?;
     let told = Briefing::read(path)?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(|e| format!("no runtime: {e}"))?;
-    LocalSet::new().block_on(&runtime, run(told, path.to_owned()))
+    LocalSet::new().block_on(&runtime, run(told, path.to_owned(), passed))
 }
 
 /// Says whether a node could be told by this file.
@@ -100,7 +106,7 @@
     std::env::var_os("ROUTER_CONFIG").map(PathBuf::from).ok_or_else(|| "ROUTER_CONFIG is not set".into())
 }
 
-async fn run(mut told: Briefing, path: PathBuf) -> Result<(), String> {
+async fn run(mut told: Briefing, path: PathBuf, passed: Option<std::net::TcpListener>) -> Result<(), String> {
     // A node that is asked to read its configuration again before it serves must not end by that.
     let reread = signal(SignalKind::hangup()).map_err(|e| format!("no signals: {e}"))?;
     let Understood { seed, values, words } = told.understood()?;
@@ -123,13 +129,19 @@
     }));
     let mut terminate = signal(SignalKind::terminate()).map_err(|e| format!("no signals: {e}"))?;
     let mut interrupt = signal(SignalKind::interrupt()).map_err(|e| format!("no signals: {e}"))?;
-    let listener = listen(told.listen, limits.backlog);
-    let listener = listener.map_err(|e| format!("cannot listen at {}: {e}", told.listen))?;
+    let cannot = |at: SocketAddr| move |e| format!("cannot listen at {at}: {e}");
+    let passed = passed.map(TcpListener::from_std).transpose().map_err(cannot(told.listen))?;
+    let was_passed = passed.is_some();
+    let listener = match passed {
+        Some(listener) => listener,
+        None => listen(told.listen, limits.backlog).map_err(cannot(told.listen))?,
+    };
+    let management = told.management.map(|at| listen(at, limits.backlog).map_err(cannot(at))).transpose()?;
     let address = listener.local_addr().map_err(|e| format!("cannot listen at {}: {e}", told.listen))?;
 
     let clock = Clock::start();
     let (events, told_events) = mpsc::channel(limits.events);
-    let (stage, staged) = watch::channel(Stage::Starting);
+    let stages = Rc::new(Stages::new());
     let follow = Rc::new(Notify::new());
     let executors = Executors::new(limits.clone(), words.clone(), events.clone());
     let status: Rc<RefCell<String>> = Rc::default();
@@ -141,17 +153,24 @@
         limits.clone(),
         words.clone(),
         events.clone(),
-        staged.clone(),
+        stages.watch(),
         status.clone(),
         durable.clone(),
     );
     let dispatcher = Dispatcher::new(values, seed, clock.now());
-    let mut driver =
-        Driver::new(dispatcher, clock, words.clone(), executors.clone(), follow.clone(), told_events, stage);
+    let mut driver = Driver::new(
+        dispatcher,
+        clock,
+        words.clone(),
+        executors.clone(),
+        follow.clone(),
+        told_events,
+        stages.clone(),
+    );
     let version = told.known.as_ref().map(|known| known.version);
     let before = told.known.as_ref().map_or(Vec::new(), |known| known.entries.clone());
     if let Some(known) = told.known.take() {
-        driver.tell(clock.now(), Event::List(ListKind::Saved, known.entries));
+        driver.tell(clock.now(), Event::List(ListKind::Saved, known.entries, Some(known.version)));
     }
     let (discovery, followed) = watch::channel(told.discovery);
     let (consul, consul_wanted) = watch::channel(file.lists.consul.clone());
@@ -188,12 +207,11 @@
         }
     }
     if let Some(durable) = durable {
-        spawn_local(durable.clone().recover(staged, clients.held.clone()));
+        spawn_local(durable.clone().recover(stages.watch(), clients.held.clone()));
         spawn_local(durable.forget());
     }
     spawn_local(executors.retire_idle());
-    spawn_local(clients.clone().accept(listener));
-    let stage = driver.stage.clone();
+    spawn_local(clients.clone().accept(listener, was_passed));
     let driver = spawn_local(driver.run());
     tracing::info!(
         "{} listens at {}: {} clients, {} connections to executors, {} bytes held at most",
@@ -203,6 +221,11 @@
         limits.executors,
         limits.held_bytes
     );
+    if let Some(listener) = management {
+        let at = listener.local_addr().map_err(|e| format!("no address to be called at: {e}"))?;
+        tracing::info!("operators call at {at}");
+        spawn_local(Management::new(limits.clone(), events.clone(), stages.clone()).accept(listener));
+    }
     let own = Own { path: own_path, file, consul };
     spawn_local(told.reread(path, reread, discovery, own));
     let unlisted = sleep(limits.ready_wait);
@@ -213,15 +236,15 @@
             _ = terminate.recv() => break,
             _ = interrupt.recv() => break,
             () = &mut unlisted, if !unlisted.is_elapsed() => {
-                if *stage.borrow() == Stage::Starting {
+                if !stages.life().listed {
                     tracing::warn!("no word from the list yet, serving by the one held before");
-                    stage.send_replace(Stage::Serving);
+                    stages.change(|life| life.listed = true);
                 }
             }
         }
     }
     tracing::info!("asked to end, {} connections from clients", clients.connections());
-    let ending = end(&limits, &clients, &stage, &events);
+    let ending = end(&limits, &clients, &stages, &events, was_passed);
     tokio::select! {
         _ = &mut driver => Err("the driver has ended".into()),
         () = ending => Ok(()),
@@ -237,17 +260,29 @@
 }
 
 /// Answers what is taken and what still comes, closes what is idle, and ends when nothing is left.
-async fn end(limits: &Limits, clients: &Clients, stage: &watch::Sender<Stage>, events: &mpsc::Sender<Event>) {
+async fn end(
+    limits: &Limits,
+    clients: &Clients,
+    stages: &Stages,
+    events: &mpsc::Sender<Event>,
+    passed: bool,
+) {
     let asked = Instant::now();
-    stage.send_replace(Stage::Leaving);
-    sleep(limits.linger).await;
-    stage.send_replace(Stage::Closing);
+    stages.change(|life| life.way = if passed { Way::Passed } else { Way::Out });
     // Until then after the signal, or until nobody is connected.
     let wait = async |until: Duration| {
         while clients.connections() > 0 && asked.elapsed() < until {
             sleep(Duration::from_millis(20)).await;
         }
     };
+    if passed {
+        // Another process takes what still comes.
+        wait(limits.linger).await;
+    } else {
+        let mut staged = stages.watch();
+        let _ = timeout(limits.linger, staged.wait_for(|stage| stage.closes_idle())).await;
+    }
+    stages.change(|life| life.way = Way::Closing);
     wait(limits.cut_after).await;
     if clients.connections() > 0 {
         let _ = events.send(Event::OutOfTime).await;
--- a/crates/daemon/src/limits.rs
+++ b/crates/daemon/src/limits.rs
@@ -42,6 +42,9 @@
     pub turned_away: usize,
     /// Connections that may wait to be accepted. Guards against bursts: past it, they come up a second late.
     pub backlog: u32,
+    /// Operators' connections, out of the spare descriptors.
+    pub callers: usize,
+    pub call_ring: usize,
     /// Connections to executors; a sixteenth is kept for probes.
     pub executors: usize,
     /// Events that may wait for the driver.
@@ -57,6 +60,11 @@
     /// after its last answer.
     pub fresh_settle: Duration,
     pub client_settle: Duration,
+    /// How long an operator's call may take to hold; its caller waits a second.
+    pub call_wait: Duration,
+    /// How long after a drain by hand idle connections close and work is deferred: the front has stopped
+    /// sending, and what was under way has come.
+    pub drain_settle: Duration,
     /// How soon a client that the node has no room for may come back.
     pub full_come_back: Duration,
     /// The same for one that sent what cannot be taken.
@@ -92,6 +100,9 @@
 /// Descriptors kept free for the log, the runtime, discovery and probes.
 const SPARE: u64 = 24;
 
+/// Of these, what operators' connections may take.
+const CALLERS: usize = 12;
+
 /// Log lines that may wait to be written; more are dropped. The log starts before a node is told anything.
 pub const LOG_LINES: usize = 1024;
 
@@ -129,6 +140,8 @@
             clients,
             turned_away,
             backlog: 1024,
+            callers: CALLERS,
+            call_ring: 2 * FIRST,
             executors,
             events: 4096,
             longest: stated.longest,
@@ -137,6 +150,8 @@
             client_idle: Duration::from_secs(120),
             fresh_settle: Duration::from_millis(150),
             client_settle: Duration::from_secs(1),
+            call_wait: Duration::from_millis(500),
+            drain_settle: Duration::from_millis(1000),
             full_come_back: Duration::from_millis(50),
             bad_come_back: Duration::from_secs(1),
             scrap: 64 * 1024,
@@ -173,7 +188,7 @@
         // Open work units, bodies on their way in, results; rings; ids, a list, and the executors known.
         let bodies = l.held_bytes + 2 * l.slow_bodies * l.body + 2 * l.executors * l.body;
         let clients_rings = (l.clients + l.turned_away) * 2 * FIRST + l.client_rings;
-        let rings = clients_rings + l.executors * 2 * l.ring;
+        let rings = clients_rings + (l.executors * l.ring + l.callers * l.call_ring) * 2;
         let held = bodies
             + rings
             + l.past_ids * 24
--- a/crates/daemon/src/lists/mod.rs
+++ b/crates/daemon/src/lists/mod.rs
@@ -46,18 +46,18 @@
     }
 
     /// What to tell of a list, or of changes to it.
-    pub fn list(&self, kind: ListKind, entries: Vec<Entry>) -> Event {
+    pub fn list(&self, kind: ListKind, entries: Vec<Entry>, version: Option<u64>) -> Event {
         match &self.merge {
-            None => Event::List(kind, entries),
+            None => Event::List(kind, entries, version),
             Some((place, merge)) => {
-                Event::List(ListKind::Changes, merge.borrow_mut().take(*place, kind, entries))
+                Event::List(ListKind::Changes, merge.borrow_mut().take(*place, kind, entries), None)
             }
         }
     }
 
     pub async fn tell(&self, kind: ListKind, entries: Vec<Entry>) {
         if let Ok(room) = self.room().await {
-            room.send(self.list(kind, entries));
+            room.send(self.list(kind, entries, None));
         }
     }
 }
--- a/crates/daemon/src/lists/platform.rs
+++ b/crates/daemon/src/lists/platform.rs
@@ -116,7 +116,7 @@
                 // That nothing has changed is word from the list as well.
                 let (kind, entries) =
                     news.map_or((ListKind::Changes, Vec::new()), |kind| (kind, list.entries));
-                told.send(self.told.list(kind, entries));
+                told.send(self.told.list(kind, entries, versions.known));
             }
             if ended {
                 return Ok(());
--- /dev/null
+++ b/crates/daemon/src/management/calls.rs
@@ -0,0 +1,69 @@
+//! The calls that operators make, as their request heads say them.
+
+/// What is asked for.
+#[derive(Debug, PartialEq)]
+pub enum Call {
+    IsReady,
+    /// Leave an executor out, or let it serve again.
+    Out {
+        executor: String,
+        out: bool,
+    },
+    /// Empty the node, or take clients again.
+    Drain(bool),
+}
+
+/// Why a head asks for none of these.
+#[derive(Debug, PartialEq)]
+pub enum NoCall {
+    UnknownPath,
+    /// And the one method that the path takes.
+    WrongMethod(&'static str),
+    OddPath,
+}
+
+/// The longest name of an executor.
+const MOST_NAME: usize = 255;
+
+/// Reads a call out of a request's method and target.
+pub fn call(method: &str, target: &str) -> Result<Call, NoCall> {
+    let path = target.split('?').next().unwrap_or("");
+    let steps: Vec<&str> = path.split('/').collect();
+    let (by, call) = match steps[..] {
+        ["", "v1", "readyz"] => ("GET", Call::IsReady),
+        ["", "v1", "node", "drain"] => ("PUT", Call::Drain(true)),
+        ["", "v1", "node", "activate"] => ("PUT", Call::Drain(false)),
+        ["", "v1", "executors", name, what @ ("suspend" | "resume")] => {
+            let name = percent_encoding::percent_decode_str(name).decode_utf8();
+            let name = name.ok().filter(|name| (1..=MOST_NAME).contains(&name.len()));
+            let executor = name.ok_or(NoCall::OddPath)?.into_owned();
+            ("PUT", Call::Out { executor, out: what == "suspend" })
+        }
+        _ => return Err(NoCall::UnknownPath),
+    };
+    if method == by { Ok(call) } else { Err(NoCall::WrongMethod(by)) }
+}
+
+#[test]
+fn calls_are_known_by_path_and_method() {
+    let out = |executor: &str, out| Ok(Call::Out { executor: executor.into(), out });
+    for (method, target, expected) in [
+        ("GET", "/v1/readyz", Ok(Call::IsReady)),
+        ("GET", "/v1/readyz?verbose=1", Ok(Call::IsReady)),
+        ("HEAD", "/v1/readyz", Err(NoCall::WrongMethod("GET"))),
+        ("PUT", "/v1/executors/s-1/suspend", out("s-1", true)),
+        ("PUT", "/v1/executors/s%2F1/resume", out("s/1", false)),
+        ("PUT", "/v1/executors//suspend", Err(NoCall::OddPath)),
+        ("PUT", "/v1/executors/%ff/suspend", Err(NoCall::OddPath)),
+        ("POST", "/v1/executors/s-1/suspend", Err(NoCall::WrongMethod("PUT"))),
+        ("PUT", "/v1/executors/s-1", Err(NoCall::UnknownPath)),
+        ("PUT", "/v1/executors/s-1/suspend/", Err(NoCall::UnknownPath)),
+        ("PUT", "/v1/node/drain", Ok(Call::Drain(true))),
+        ("PUT", "/v1/node/activate", Ok(Call::Drain(false))),
+        ("GET", "/v1/node/activate", Err(NoCall::WrongMethod("PUT"))),
+        ("GET", "/", Err(NoCall::UnknownPath)),
+        ("GET", "*", Err(NoCall::UnknownPath)),
+    ] {
+        assert_eq!(call(method, target), expected, "{method} {target}");
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/management/mod.rs
@@ -0,0 +1,181 @@
+//! Where operators call: a listener of its own, where the configuration names one. Each connection is a task of
+//! its own and carries one call, which is answered once what it asks for holds.
+mod calls;
+
+use crate::events::Event;
+use crate::held::HeldBytes;
+use crate::http1::{self, Connection, Failed};
+use crate::limits::Limits;
+use crate::stage::{Drain, Stage, Stages, Way};
+use calls::{Call, NoCall};
+use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
+use std::rc::Rc;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{Notify, mpsc, oneshot};
+use tokio::task::spawn_local;
+use tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at};
+
+pub struct Management {
+    limits: Rc<Limits>,
+    events: mpsc::Sender<Event>,
+    stages: Rc<Stages>,
+    rings: Rc<HeldBytes>,
+    /// Connections whose call is not whole, by their number, the longest first.
+    waiting: RefCell<VecDeque<(u64, Rc<Notify>)>>,
+    open: Cell<usize>,
+    next: Cell<u64>,
+    /// Counts the calls to drain and back.
+    drains: Rc<Cell<u64>>,
+}
+
+type Answered = (u16, &'static str);
+
+const DONE: Answered = (200, "done");
+
+impl Management {
+    pub fn new(limits: Rc<Limits>, events: mpsc::Sender<Event>, stages: Rc<Stages>) -> Rc<Self> {
+        Rc::new(Management {
+            rings: HeldBytes::new(limits.callers * 2 * limits.call_ring),
+            limits,
+            events,
+            stages,
+            waiting: RefCell::default(),
+            open: Cell::new(0),
+            next: Cell::new(0),
+            drains: Rc::default(),
+        })
+    }
+
+    pub async fn accept(self: Rc<Self>, listener: TcpListener) {
+        loop {
+            match listener.accept().await {
+                Ok((stream, _)) => self.take(stream),
+                Err(e) => {
+                    tracing::warn!("cannot accept a call: {e}");
+                    sleep(self.limits.fresh_settle).await;
+                }
+            }
+        }
+    }
+
+    /// Serves a connection. Guards against callers that connect and say nothing: where there are too many,
+    /// the one that is waited for longest is closed for the newcomer.
+    fn take(self: &Rc<Self>, stream: TcpStream) {
+        let (this, number, close) = (self.clone(), self.next.get(), Rc::new(Notify::new()));
+        if self.open.get() >= self.limits.callers {
+            match self.waiting.borrow_mut().pop_front() {
+                Some((_, longest)) => longest.notify_one(),
+                // All of them are being answered, which takes less than a second.
+                None => return,
+            }
+        }
+        self.next.set(number + 1);
+        self.open.set(self.open.get() + 1);
+        self.waiting.borrow_mut().push_back((number, close.clone()));
+        spawn_local(async move {
+            let mut connection = Connection::new(stream, this.limits.call_ring, &this.rings);
+            this.serve(&mut connection, number, &close).await;
+            drop(connection);
+            this.waits_no_more(number);
+            this.open.set(this.open.get() - 1);
+        });
+    }
+
+    fn waits_no_more(&self, number: u64) {
+        self.waiting.borrow_mut().retain(|(waits, _)| *waits != number);
+    }
+
+    async fn serve(&self, connection: &mut Connection, number: u64, close: &Notify) {
+        let due = Instant::now() + self.limits.client_wait;
+        let head = tokio::select! {
+            biased;
+            head = connection.request_head() => head,
+            () = close.notified() => return,
+            () = sleep_until(due) => return,
+        };
+        self.waits_no_more(number);
+        let mut allow = None;
+        let (status, said) = match head {
+            Ok(None) | Err(Failed::Ended | Failed::Broken(_)) => return,
+            Err(Failed::Bad(bad)) => (bad.status(), "the call cannot be read"),
+            Ok(Some(head)) => match calls::call(&head.method, &head.target) {
+                Ok(call) => {
+                    let answered = self.answer(&call).await;
+                    match &call {
+                        Call::IsReady => {}
+                        call => tracing::info!("called: {call:?}, answered {} {}", answered.0, answered.1),
+                    }
+                    answered
+                }
+                Err(NoCall::UnknownPath) => (404, "there is no such call"),
+                Err(NoCall::OddPath) => (400, "an executor has a name of 1 to 255 bytes"),
+                Err(NoCall::WrongMethod(by)) => {
+                    allow = Some(("Allow", by.to_string()));
+                    (405, "the call is made by another method")
+                }
+            },
+        };
+        let fields: Vec<_> = allow.into_iter().collect();
+        let said = format!("{said}\n");
+        let head = http1::answer(status, said.len(), false, &fields);
+        let written = timeout(self.limits.call_wait, connection.write(&[&head, said.as_bytes()])).await;
+        if matches!(written, Ok(Ok(()))) {
+            connection.end(self.limits.tail_wait, self.limits.scrap).await;
+        }
+    }
+
+    async fn answer(&self, call: &Call) -> Answered {
+        match call {
+            Call::IsReady if self.stages.life().is_ready() => (200, "ready"),
+            Call::IsReady => (503, "not ready"),
+            Call::Out { executor, out } => self.leave_out(executor, *out).await,
+            Call::Drain(drain) => {
+                if self.stages.life().way != Way::None {
+                    return (503, "the node ends");
+                }
+                self.drain(*drain);
+                DONE
+            }
+        }
+    }
+
+    async fn leave_out(&self, executor: &str, out: bool) -> Answered {
+        let until = Instant::now() + self.limits.call_wait;
+        // An executor may be known only once there is a list.
+        let mut stage = self.stages.watch();
+        let _ = timeout_at(until, stage.wait_for(|stage| *stage != Stage::Starting)).await;
+        let (done, holds) = oneshot::channel();
+        let event = Event::LeaveOut { executor: executor.to_string(), out, done: Some(done) };
+        let told = async {
+            self.events.send(event).await.ok()?;
+            holds.await.ok()
+        };
+        match timeout_at(until + self.limits.call_wait / 2, told).await {
+            Ok(Some(true)) => DONE,
+            Ok(Some(false)) => (404, "no such executor was ever listed"),
+            _ => (503, "the node is too busy"),
+        }
+    }
+
+    /// Empties the node, or ends that; again the same changes nothing.
+    fn drain(&self, drain: bool) {
+        let before = self.stages.life().drain;
+        if drain == (before != Drain::None) {
+            return;
+        }
+        let (number, drains, stages) = (self.drains.get() + 1, self.drains.clone(), self.stages.clone());
+        drains.set(number);
+        stages.change(|life| {
+            life.drain = if drain { Drain::Begun } else { Drain::None };
+            life.inherited = false;
+        });
+        let settle = self.limits.drain_settle;
+        spawn_local(async move {
+            sleep(settle).await;
+            if drain && drains.get() == number {
+                stages.change(|life| life.drain = Drain::Settled);
+            }
+        });
+    }
+}
--- a/crates/daemon/tests/common/mod.rs
+++ b/crates/daemon/tests/common/mod.rs
@@ -84,14 +84,19 @@
 }
 
 pub fn launch_by(path: &str, log: &str, own: &str) -> Child {
-    Command::new(env!("CARGO_BIN_EXE_troutknotd"))
+    launch_with(path, log, own, |_| ())
+}
+
+pub fn launch_with(path: &str, log: &str, own: &str, how: impl FnOnce(&mut Command)) -> Child {
+    let mut program = Command::new(env!("CARGO_BIN_EXE_troutknotd"));
+    program
         .env("ROUTER_CONFIG", path)
         .env("TROUTKNOT_FILE", own)
         .env("TROUTKNOT_LOG", log)
         .stdout(Stdio::piped())
-        .stderr(Stdio::piped())
-        .spawn()
-        .unwrap()
+        .stderr(Stdio::piped());
+    how(&mut program);
+    program.spawn().unwrap()
 }
 
 pub struct Node {
@@ -123,8 +128,15 @@
         let config = json!({"name": "n0", "listen": "127.0.0.1:0", "discovery": discovery.to_string(),
             "seed": "8c1f30d27a5be964", "limits": {"cores": 1.0, "memory_mb": limits.1, "sockets": limits.0},
             "settings": settings, "known": known});
+        let node = Node::start_from(config, |path| launch_by(path, log, own));
+        until("it is ready", || node.ask(HEALTH).0 == 200);
+        node
+    }
+
+    /// With this configuration, once it says where it listens.
+    pub fn start_from(config: Value, launch: impl FnOnce(&str) -> Child) -> Self {
         let path = config_file(&config.to_string());
-        let mut process = launch_by(&path, log, own);
+        let mut process = launch(&path);
         // Few lines are taken from a log that a test does not read; then the pipe fills up.
         let (send, log) = mpsc::sync_channel(64);
         let lines = BufReader::new(process.stdout.take().unwrap()).lines();
@@ -132,7 +144,6 @@
         let mut node = Node { process, addr: ([127, 0, 0, 1], 0).into(), log, config, path };
         let line = node.logged(" listens at ");
         node.addr = line.split(" listens at ").nth(1).unwrap().split(": ").next().unwrap().parse().unwrap();
-        until("it is ready", || node.ask(HEALTH).0 == 200);
         node
     }
 
--- /dev/null
+++ b/crates/daemon/tests/operation.rs
@@ -0,0 +1,187 @@
+//! What operators' staff do to a node that runs: calls, executors out by hand, drains, the next process.
+mod common;
+
+use command_fds::{CommandFdExt, FdMapping};
+use common::*;
+use serde_json::{Value, json};
+use std::collections::BTreeSet;
+use std::io::{BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::time::{Duration, Instant};
+use troutknot_emulator::scripted::{Act, Discovery, Executor};
+
+struct Operated {
+    node: Node,
+    calls: SocketAddr,
+}
+
+fn config(discovery: &Discovery, settings: Value) -> Value {
+    json!({"name": "n0", "listen": "127.0.0.1:0", "management": "127.0.0.1:0",
+        "discovery": discovery.addr.to_string(), "seed": "8c1f30d27a5be964",
+        "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 256}, "settings": settings})
+}
+
+impl Operated {
+    fn start(discovery: &Discovery, how: impl FnOnce(&mut std::process::Command)) -> Self {
+        let config = config(discovery, settings());
+        let node = Node::start_from(config, |path| launch_with(path, "info", "", how));
+        let line = node.logged("operators call at ");
+        let calls = line.split("operators call at ").nth(1).unwrap().trim().parse().unwrap();
+        let operated = Operated { node, calls };
+        until("it is ready", || operated.call("GET", "/v1/readyz") == 200);
+        operated
+    }
+
+    fn call(&self, method: &str, path: &str) -> u16 {
+        self.say(&format!("{method} {path} HTTP/1.1\r\nHost: n\r\n\r\n"))
+    }
+
+    fn say(&self, request: &str) -> u16 {
+        let stream = TcpStream::connect(self.calls).unwrap();
+        // A caller waits a second.
+        stream.set_read_timeout(Some(Duration::from_secs(1))).unwrap();
+        ask(&mut BufReader::new(stream), request).0
+    }
+
+    fn health(&self) -> u16 {
+        self.node.ask(HEALTH).0
+    }
+}
+
+fn two_executors() -> ([Executor; 2], Discovery) {
+    let executors = [Executor::start(), Executor::start()];
+    let entries = [entry("s-1", &executors[0], "Ready"), entry("s-2", &executors[1], "Ready")];
+    (executors, Discovery::start(list(7, true, &entries)))
+}
+
+/// Which of the executors get work.
+fn used(operated: &Operated, executors: &[Executor; 2], count: usize) -> BTreeSet<usize> {
+    let mut connection = operated.node.connect();
+    for _ in 0..count {
+        assert_eq!(ask(&mut connection, work("render", &new_id(), 3.0, "")).0, 200);
+    }
+    let seen = |k: &usize| !std::mem::take(&mut *executors[*k].seen.lock().unwrap()).is_empty();
+    (0..2).filter(seen).collect()
+}
+
+#[test]
+fn calls_are_told_apart_and_unfinished_ones_keep_nobody_out() {
+    let (_executors, discovery) = two_executors();
+    let operated = Operated::start(&discovery, |_| ());
+    let _crowd: Vec<_> = (0..40)
+        .map(|k| {
+            let mut silent = TcpStream::connect(operated.calls).unwrap();
+            silent.write_all(&b"GET /v1"[..k % 8]).unwrap();
+            silent
+        })
+        .collect();
+    for (request, status) in [
+        ("GET /v1/readyz", 200),
+        ("PUT /v1/readyz", 405),
+        ("GET /v1/metrics", 404),
+        ("PUT /v1/executors/s-1/suspend", 200),
+        ("PUT /v1/executors/s-1/suspend", 200),
+        ("PUT /v1/executors/s-1/resume", 200),
+        ("PUT /v1/executors/s-9/suspend", 404),
+        ("PUT /v1/executors/s-9/resume", 404),
+        ("PUT /v1/node/activate", 200),
+    ] {
+        assert_eq!(operated.say(&format!("{request} HTTP/1.1\r\nHost: n\r\n\r\n")), status, "{request}");
+    }
+    assert_eq!(operated.say("what\r\n\r\n"), 400);
+}
+
+#[test]
+fn an_executor_that_is_out_gets_nothing_whatever_the_list_says() {
+    let (executors, discovery) = two_executors();
+    let operated = Operated::start(&discovery, |_| ());
+    assert_eq!(used(&operated, &executors, 60), [0, 1].into());
+    assert_eq!(operated.call("PUT", "/v1/executors/s-1/suspend"), 200);
+    assert_eq!(operated.call("PUT", "/v1/executors/s-1/suspend"), 200);
+    assert_eq!(used(&operated, &executors, 30), [1].into(), "out");
+    // Gone and back in the list, and so started anew.
+    discovery.lines.send(list(8, false, &[json!({"id": "s-1", "state": "Gone"})])).unwrap();
+    discovery.lines.send(list(9, false, &[entry("s-1", &executors[0], "Ready")])).unwrap();
+    assert_eq!(used(&operated, &executors, 30), [1].into(), "out though it is back in the list");
+    assert_eq!(operated.call("PUT", "/v1/executors/s-2/suspend"), 200);
+    let asked = Instant::now();
+    let (status, (head, _)) = operated.node.ask(work("render", &new_id(), 3.0, ""));
+    assert_eq!(status, 503, "all are out");
+    assert!(field(&head, "retry-after").is_some() && asked.elapsed() < Duration::from_secs(1), "{head}");
+    assert_eq!(operated.call("PUT", "/v1/executors/s-1/resume"), 200);
+    assert_eq!(used(&operated, &executors, 10), [0].into(), "one call back undoes two out");
+}
+
+#[test]
+fn a_drained_node_is_empty_in_time_and_takes_clients_again() {
+    let (executors, discovery) = two_executors();
+    let operated = Operated::start(&discovery, |_| ());
+    let (mut idle, mut busy) = (operated.node.connect(), operated.node.connect());
+    for connection in [&mut idle, &mut busy] {
+        assert_eq!(ask(connection, work("render", &new_id(), 3.0, "")).0, 200);
+    }
+    let asked = Instant::now();
+    assert_eq!(operated.call("PUT", "/v1/node/drain"), 200);
+    assert_eq!(operated.call("PUT", "/v1/node/drain"), 200);
+    assert_eq!((operated.health(), operated.call("GET", "/v1/readyz")), (503, 503));
+    let (status, (head, _)) = ask(&mut busy, work("render", &new_id(), 3.0, ""));
+    assert_eq!((status, field(&head, "connection")), (200, Some("close")), "early work is served: {head}");
+    assert_eq!(idle.read(&mut [0]).unwrap(), 0, "an idle connection closes");
+    assert!(asked.elapsed() < Duration::from_secs(2));
+    let (status, (head, _)) = operated.node.ask(work("render", &new_id(), 3.0, ""));
+    assert_eq!((status, field(&head, "connection")), (503, Some("close")), "late work is deferred: {head}");
+    // Nothing keeps a connection to an empty node open.
+    assert_eq!(operated.node.connect().read(&mut [0]).unwrap(), 0);
+    assert_eq!(operated.call("PUT", "/v1/node/activate"), 200);
+    assert_eq!((operated.health(), operated.call("GET", "/v1/readyz")), (200, 200));
+    assert_eq!(used(&operated, &executors, 60), [0, 1].into());
+    assert_eq!(operated.call("PUT", "/v1/node/activate"), 200);
+    // Again at once: the settling of the first drain is not this one's.
+    for path in ["drain", "activate", "drain"] {
+        assert_eq!(operated.call("PUT", &format!("/v1/node/{path}")), 200);
+    }
+    assert_eq!(operated.node.ask(work("render", &new_id(), 3.0, "")).0, 200, "in the middle of emptying");
+    operated.node.terminate();
+    operated.node.logged("asked to end");
+    assert!(operated.node.logged("ended with").contains("ended with 0"));
+}
+
+/// Starts a process with this socket as descriptor 5.
+fn start_on(socket: &TcpListener, discovery: &Discovery) -> Operated {
+    let fd = socket.try_clone().unwrap().into();
+    Operated::start(discovery, |program| {
+        program.env("ROUTER_PASSED_SOCKET", "5");
+        program.fd_mappings(vec![FdMapping { parent_fd: fd, child_fd: 5 }]).unwrap();
+    })
+}
+
+#[test]
+fn clients_see_no_gap_while_one_process_follows_another() {
+    let (executors, discovery) = two_executors();
+    let socket = TcpListener::bind("127.0.0.1:0").unwrap();
+    let at = socket.local_addr().unwrap();
+    let old = start_on(&socket, &discovery);
+    assert_eq!(old.node.addr, at);
+    let connect = || BufReader::new(TcpStream::connect(at).unwrap());
+    let mut kept = connect();
+    assert_eq!(ask(&mut kept, work("render", &new_id(), 3.0, "")).0, 200);
+    // Out there when the old process is asked to end.
+    executors.iter().for_each(|e| e.acts.lock().unwrap().push_back(Act::Silent));
+    let mut under_way = connect();
+    under_way.get_mut().write_all(work("render", &new_id(), 0.6, "").as_bytes()).unwrap();
+    let taken = || executors.iter().any(|e| e.acts.lock().unwrap().is_empty());
+    until("it is out there", taken);
+    executors.iter().for_each(|e| e.acts.lock().unwrap().clear());
+    let new = start_on(&socket, &discovery);
+    old.node.terminate();
+    old.node.logged("asked to end");
+    let (status, (head, _)) = ask(&mut kept, work("render", &new_id(), 3.0, ""));
+    assert_eq!((status, field(&head, "connection")), (200, Some("close")), "the old one's connection");
+    for _ in 0..50 {
+        assert_eq!(ask(&mut connect(), work("render", &new_id(), 3.0, "")).0, 200);
+    }
+    assert_eq!(answer(&mut under_way).0, 503, "what was under way has its answer");
+    drop(under_way);
+    assert!(old.node.logged("ended with").contains("ended with 0"));
+    assert_eq!(new.health(), 200);
+}
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -475,14 +475,15 @@
     }
 
     fn on_list(&mut self, now: Millis, kind: ListKind, entries: &[Listing]) {
-        if kind != ListKind::Changes {
+        if matches!(kind, ListKind::Whole | ListKind::Saved) {
             self.fleet.listed.iter_mut().for_each(|l| l.phase = Phase::Gone);
         }
         entries.iter().for_each(|entry| self.fleet.list(entry));
         let healthy = self.fleet.listed.iter().filter(|l| l.phase == Phase::Healthy);
         self.fleet.healthy = healthy.map(|l| l.executor).collect();
-        self.following.stood |= kind != ListKind::Saved;
-        if kind != ListKind::Saved && self.following.failures > 0 {
+        let heard = matches!(kind, ListKind::Whole | ListKind::Changes);
+        self.following.stood |= heard;
+        if heard && self.following.failures > 0 {
             self.log.push(format!("list back after {} failures", self.following.failures));
             self.following.failures = 0;
         }
--- a/src/terms.rs
+++ b/src/terms.rs
@@ -140,6 +140,8 @@
 pub enum ListKind {
     /// Only what changed.
     Changes,
+    /// What the operators changed by hand, which is no word from the list.
+    ByHand,
     /// The whole list; who is not in it is gone.
     Whole,
     /// The whole list as last held before a restart, perhaps out of date.
