--- a/crates/daemon/src/briefing.rs
+++ b/crates/daemon/src/briefing.rs
@@ -1,14 +1,18 @@
 //! What a node is told: read at its start, and again whenever it is asked to.
+use crate::events::Event;
+use crate::limits::{Limits, Stated};
 use crate::operator::{Consul, OperatorFile};
-use crate::words::{List, Vocabulary};
+use crate::words::{InForce, List, Vocabulary};
 use serde::Deserialize;
 use std::io::Read;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
+use std::rc::Rc;
+use std::time::Duration;
 use tokio::signal::unix::Signal;
-use tokio::sync::watch;
+use tokio::sync::{mpsc, watch};
 use troutknot::NamedValues;
-use troutknot_hosting::named_values;
+use troutknot_hosting::Catalogue;
 
 /// A file that is longer is not read.
 const MOST_BYTES: u64 = 16 * 1024 * 1024;
@@ -43,6 +47,43 @@
     pub words: Vocabulary,
 }
 
+/// What new settings change while the node runs.
+pub struct Retuned {
+    pub catalogue: Catalogue,
+    pub limits: Rc<Limits>,
+    pub words: Rc<InForce<Vocabulary>>,
+    pub events: mpsc::Sender<Event>,
+}
+
+impl Retuned {
+    /// Takes new settings as one, or nothing of them.
+    async fn take(&mut self, settings: &serde_json::Map<String, serde_json::Value>) -> Result<(), String> {
+        let adopted = self.catalogue.adopt(settings)?;
+        let values = adopted.values.clone();
+        let words = Vocabulary::of(settings, adopted);
+        self.limits.retune(&stated(&values, &words));
+        // The module has heard of a project type before the first work unit of it comes.
+        self.events.send(Event::Retuned(values)).await.map_err(|_| "the node ends".to_string())?;
+        self.words.replace(words);
+        Ok(())
+    }
+}
+
+/// What the settings state of times.
+pub fn stated(values: &NamedValues, words: &Vocabulary) -> Stated {
+    let span = |name: &str| {
+        let millis = values.number(name, -1.0);
+        (0.0..1e9).contains(&millis).then(|| Duration::from_secs_f64(millis / 1000.0))
+    };
+    Stated {
+        connect_wait: span("limits.connect_wait"),
+        executors_idle: span("limits.idle_connection"),
+        drain_grace: span("rules.drain_grace"),
+        longest: words.longest(),
+        ..Stated::default()
+    }
+}
+
 /// The operator's own file, and who is told when it says otherwise.
 pub struct Own {
     pub path: Option<PathBuf>,
@@ -85,11 +126,15 @@
         Ok(told)
     }
 
-    pub fn understood(&self) -> Result<Understood, String> {
-        let seed = u64::from_str_radix(&self.seed, 16).map_err(|_| format!("odd seed `{}`", self.seed))?;
-        let values = named_values(&self.settings)?;
-        let words = Vocabulary::of(&self.settings, &values)?;
-        Ok(Understood { seed, values, words })
+    fn seed(&self) -> Result<u64, String> {
+        u64::from_str_radix(&self.seed, 16).map_err(|_| format!("odd seed `{}`", self.seed))
+    }
+
+    pub fn understood(&self, catalogue: &mut Catalogue) -> Result<Understood, String> {
+        let seed = self.seed()?;
+        let adopted = catalogue.adopt(&self.settings)?;
+        let values = adopted.values.clone();
+        Ok(Understood { seed, values, words: Vocabulary::of(&self.settings, adopted) })
     }
 
     /// What a newer one says otherwise that holds until the node's end.
@@ -100,30 +145,47 @@
             ("management", self.management != newer.management),
             ("seed", self.seed != newer.seed),
             ("limits", self.limits != newer.limits),
-            ("settings", self.settings != newer.settings),
         ];
         differ.into_iter().filter(|(_, differs)| *differs).map(|(name, _)| name).collect()
     }
 
-    /// Reads the files again at each signal, until the node's end, and says which list is to be followed.
+    /// Reads the files again at each signal, until the node's end: the settings, and which list is followed.
     pub async fn reread(
-        self,
+        mut self,
         path: PathBuf,
         mut asked: Signal,
         discovery: watch::Sender<SocketAddr>,
         mut own: Own,
+        mut retuned: Retuned,
     ) {
         while asked.recv().await.is_some() {
             own.reread();
-            // Guards against a new file that is bad: the node goes on as it was.
-            match Briefing::read(&path).and_then(|newer| newer.understood().map(|_| newer)) {
+            // Guards against a new file that is bad: it is checked to its end before anything of it is taken.
+            let newer = match Briefing::read(&path) {
+                Ok(newer) => match newer.seed() {
+                    Ok(_) => retuned.take(&newer.settings).await.map(|()| newer),
+                    Err(why) => Err(why),
+                }
+                .map_err(|why| format!("`{}`: {why}", path.display())),
+                Err(why) => Err(why),
+            };
+            match newer {
                 Err(why) => tracing::warn!("new configuration not taken, the old one goes on: {why}"),
                 Ok(newer) => {
                     let kept = self.kept(&newer).join(", ");
                     let kept = if kept.is_empty() { kept } else { format!("; kept as at the start: {kept}") };
                     let moved = discovery.send_replace(newer.discovery) != newer.discovery;
                     let what = if moved { "the list is now followed at" } else { "the list is still at" };
-                    tracing::info!("configuration read again, {what} {}{kept}", newer.discovery);
+                    let settings = if newer.settings == self.settings {
+                        "the same"
+                    } else {
+                        "new, for work from now on"
+                    };
+                    tracing::info!(
+                        "configuration read again, {what} {}, settings are {settings}{kept}",
+                        newer.discovery
+                    );
+                    self.settings = newer.settings;
                 }
             }
         }
--- a/crates/daemon/src/clients/mod.rs
+++ b/crates/daemon/src/clients/mod.rs
@@ -6,7 +6,7 @@
 use crate::http1::{self, Connection, Failed};
 use crate::limits::Limits;
 use crate::stage::Stage;
-use crate::words::{self, READY_PATH, TELL_PATH, Vocabulary};
+use crate::words::{self, InForce, READY_PATH, TELL_PATH, Vocabulary};
 use bytes::BytesMut;
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet};
@@ -20,7 +20,7 @@
 
 pub struct Clients {
     pub limits: Rc<Limits>,
-    pub words: Rc<Vocabulary>,
+    pub words: Rc<InForce<Vocabulary>>,
     pub events: mpsc::Sender<Event>,
     pub stage: watch::Receiver<Stage>,
     /// What is said beside the health, where the operator's file asks for more than the platform has.
@@ -65,7 +65,7 @@
 impl PastIds {
     /// False where it was taken before. Guards against a repeat of what has just ended.
     fn take(&mut self, id: &str, limits: &Limits) -> bool {
-        if self.turned.elapsed() >= limits.longest || self.newer.len() >= limits.past_ids / 2 {
+        if self.turned.elapsed() >= limits.times().longest || self.newer.len() >= limits.past_ids / 2 {
             self.older = std::mem::take(&mut self.newer);
             self.turned = Instant::now();
         }
@@ -98,7 +98,7 @@
 impl Clients {
     pub fn new(
         limits: Rc<Limits>,
-        words: Rc<Vocabulary>,
+        words: Rc<InForce<Vocabulary>>,
         events: mpsc::Sender<Event>,
         stage: watch::Receiver<Stage>,
         status: Rc<RefCell<String>>,
@@ -259,7 +259,7 @@
             let goes = match came {
                 Ok(Came::Work { .. }) if drained => {
                     let bad = Answer::Deferred(Some(self.limits.bad_come_back.as_secs_f64() * 1000.0));
-                    let (status, fields, result) = self.words.answer(&bad);
+                    let (status, fields, result) = self.words.now().answer(&bad);
                     self.write(connection, status, false, &fields, &result).await;
                     false
                 }
@@ -285,7 +285,7 @@
                     };
                     let room = self.connections() <= self.limits.clients;
                     let keep = keep && room && !self.stage.borrow().ends_connections();
-                    let (status, fields, result) = self.words.answer(&answer);
+                    let (status, fields, result) = self.words.now().answer(&answer);
                     let written = self.write(connection, status, keep, &fields, &result).await;
                     if let (true, Some(durable), Some(wu)) = (written, &self.durable, wu) {
                         durable.acknowledged(wu);
@@ -309,7 +309,7 @@
                     };
                     let Some(answer) = answer else { return };
                     let keep = keep && room && !self.stage.borrow().ends_connections();
-                    let (status, fields, result) = self.words.answer(&answer);
+                    let (status, fields, result) = self.words.now().answer(&answer);
                     self.write(connection, status, keep, &fields, &result).await && keep
                 }
                 Err(Some(status)) => return self.reject(connection, standing, status).await,
@@ -324,7 +324,7 @@
     /// Says what is wrong and ends the connection, for what may still come cannot be told apart.
     async fn reject(&self, connection: &mut Connection, standing: &Standing, status: u16) {
         tracing::debug!("request answered {status}");
-        let fields = self.words.come_back(Some(self.limits.bad_come_back.as_secs_f64() * 1000.0));
+        let fields = self.words.now().come_back(Some(self.limits.bad_come_back.as_secs_f64() * 1000.0));
         if self.write(connection, status, false, &fields, &[]).await {
             // A newcomer may wait for its end, and need not be turned away.
             standing.worked.set(false);
@@ -359,7 +359,7 @@
             }
             return Ok(Came::Asks { id: id.to_string(), keep: head.keep });
         }
-        let (mut work, left) = self.words.work(&head).map_err(|(status, why)| {
+        let (mut work, left) = self.words.now().work(&head).map_err(|(status, why)| {
             tracing::debug!("not taken: {why}");
             Some(status)
         })?;
@@ -495,8 +495,8 @@
     async fn half_sent_requests_time_out_and_idle_connections_end() {
         let settings = serde_json::json!({"project_types": [{"name": "render", "hard_limit": 5_000_000}]});
         let settings = settings.as_object().unwrap();
-        let values = troutknot_hosting::named_values(settings).unwrap();
-        let words = Rc::new(Vocabulary::of(settings, &values).unwrap());
+        let adopted = troutknot_hosting::Catalogue::default().adopt(settings).unwrap();
+        let words = InForce::new(Vocabulary::of(settings, adopted));
         let stated = crate::limits::Stated { memory_mb: 64, sockets: 128, ..Default::default() };
         let limits = Rc::new(Limits::of(&stated));
         let (events, mut told) = mpsc::channel(16);
--- a/crates/daemon/src/driver.rs
+++ b/crates/daemon/src/driver.rs
@@ -5,7 +5,7 @@
 use crate::executors::{Executors, Push};
 use crate::roster::Roster;
 use crate::stage::Stages;
-use crate::words::{Entry, Vocabulary};
+use crate::words::{Entry, InForce, Vocabulary};
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use tokio::sync::{Notify, mpsc};
@@ -31,7 +31,7 @@
 pub struct Driver {
     dispatcher: Dispatcher,
     clock: Clock,
-    words: Rc<Vocabulary>,
+    words: Rc<InForce<Vocabulary>>,
     executors: Rc<Executors>,
     follow: Rc<Notify>,
     numbers: Numbers,
@@ -47,7 +47,7 @@
     pub fn new(
         dispatcher: Dispatcher,
         clock: Clock,
-        words: Rc<Vocabulary>,
+        words: Rc<InForce<Vocabulary>>,
         executors: Rc<Executors>,
         follow: Rc<Notify>,
         events: mpsc::Receiver<Event>,
@@ -163,6 +163,7 @@
                 done.map(|done| done.send(known));
                 return;
             }
+            Event::Retuned(values) => return self.dispatcher.retune(now, &values),
             Event::OutOfTime => {
                 self.out_of_time = true;
                 self.open.values().for_each(|open| open.stop.tell(Outcome::TimedOut));
@@ -236,7 +237,7 @@
     /// Takes what the list says of one executor, under what operators say of it.
     fn take(&mut self, executor: ExecutorId, entry: Entry) -> Listing {
         let entry = self.roster.take(executor, entry);
-        let mut listing = self.words.listing(&entry, executor);
+        let mut listing = self.words.now().listing(&entry, executor);
         let addr = entry.addr.parse().ok();
         if addr.is_none() && listing.phase == Phase::Healthy {
             tracing::warn!("executor {} has no usable address: `{}`", entry.id, entry.addr);
--- a/crates/daemon/src/durable/mod.rs
+++ b/crates/daemon/src/durable/mod.rs
@@ -11,7 +11,7 @@
 use crate::limits::Limits;
 use crate::operator::{Durably, Syncs};
 use crate::stage::Stage;
-use crate::words::Vocabulary;
+use crate::words::{InForce, Vocabulary};
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 use sha2::{Digest as _, Sha256};
@@ -23,7 +23,7 @@
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep, sleep_until, timeout};
-use troutknot::{Effect, Millis, NamedValues, WuId};
+use troutknot::{Effect, Millis, WuId};
 use troutknot_ledger::committer::{Committer, NotWritten};
 use troutknot_ledger::store::Store;
 use troutknot_ledger::{Answer as Kept, Digest, Ledger, Record, Row, Standing};
@@ -42,13 +42,12 @@
     clock: Clock,
     /// Added to the clock's times, where it had jumped back since the last record.
     offset: Millis,
-    words: Rc<Vocabulary>,
+    words: Rc<InForce<Vocabulary>>,
     events: mpsc::Sender<Event>,
     committer: Committer,
     ledger: RefCell<Ledger>,
     /// Work units whose answer is not on record yet.
     joints: RefCell<HashMap<WuId, Rc<Joint>>>,
-    effects: Vec<Effect>,
     most_allocs: usize,
     /// Open ones that were on record at the start, and how many of them are still to be taken up.
     before: RefCell<Vec<WuId>>,
@@ -129,11 +128,10 @@
         terms: Durably,
         limits: &Rc<Limits>,
         clock: Clock,
-        words: &Rc<Vocabulary>,
-        values: &NamedValues,
+        words: &Rc<InForce<Vocabulary>>,
         events: &mpsc::Sender<Event>,
     ) -> Result<Rc<Self>, String> {
-        let most_allocs = (values.number("limits.most_allocations", 1.0) as usize).clamp(1, 3);
+        let most_allocs = words.now().most_allocs().clamp(1, 3);
         let path = terms.path.clone();
         let open = Box::new({
             let path = path.clone();
@@ -142,9 +140,6 @@
         let began = Instant::now();
         let opened = Committer::start(open, terms.sync == Syncs::Together, most_allocs);
         let (committer, ledger) = opened.map_err(|why| format!("ledger `{}`: {why}", path.display()))?;
-        let name = |k: usize| format!("project_types.{k}.effect");
-        let effects = (0..).take_while(|k| values.holds(&format!("project_types.{k}.hard_limit")));
-        let effects = effects.map(|k| Effect::named(values.text(&name(k)))).collect();
         let mut before: Vec<(u64, WuId)> =
             ledger.open().map(|(wu, of)| (of.limit.max(0.0).to_bits(), wu)).collect();
         before.sort_unstable();
@@ -168,7 +163,6 @@
             committer,
             ledger: RefCell::new(ledger),
             joints: RefCell::default(),
-            effects,
             most_allocs,
             to_recover: Cell::new(before.len()),
             before: RefCell::new(before.into_iter().map(|(_, wu)| wu).collect()),
@@ -189,7 +183,7 @@
 
     /// Whether a work unit is taken durably.
     pub fn wants(&self, work: &Work) -> bool {
-        let effect = self.effects.get(work.project_type.0 as usize).copied();
+        let effect = self.words.now().effect(work.project_type);
         work.key.is_some() || effect.is_some_and(|effect| self.terms.takes(effect))
     }
 
@@ -253,7 +247,7 @@
     pub async fn take(self: &Rc<Self>, exchange: &Rc<Exchange>, last: Instant) -> Result<Rc<Joint>, Answer> {
         let (wu, work) = (exchange.wu, &exchange.work);
         let left = exchange.limit.saturating_duration_since(Instant::now()).as_secs_f64() * 1000.0;
-        let (project_type, customer) = self.words.names_of(work);
+        let (project_type, customer) = self.words.now().names_of(work);
         let sent = Sent {
             method: work.method.clone(),
             target: work.target.clone(),
@@ -267,7 +261,7 @@
         let come_back = Answer::Deferred(Some(1000.0));
         let record = Record::Taken {
             wu,
-            effect: self.effects[work.project_type.0 as usize],
+            effect: self.words.now().effect(work.project_type).unwrap_or(Effect::Exclusive),
             limit: self.now() + left,
             id: work.id.clone(),
             key: work.key.clone(),
@@ -389,7 +383,7 @@
         });
         let (id, key, limit, work) = taken.ok_or("its first record is missing")?;
         let sent: Sent = postcard::from_bytes(work).map_err(|e| e.to_string())?;
-        let places = self.words.places_of(&sent.project_type, &sent.customer);
+        let places = self.words.now().places_of(&sent.project_type, &sent.customer);
         let (project_type, customer) =
             places.ok_or_else(|| format!("project type `{}` is no longer known", sent.project_type))?;
         let work = || Work {
@@ -430,7 +424,7 @@
             known.allocations.iter().enumerate().map(of).collect()
         };
         // What is past its limit already is answered by the module as well, a moment later.
-        let last = exchange.limit + self.limits.answer_margin + self.limits.connect_wait;
+        let last = exchange.limit + self.limits.answer_margin + self.limits.times().connect_wait;
         spawn_local(self.clone().see_through(exchange.clone(), self.joint(wu), last));
         let _ = self.events.send(Event::Recovered(exchange, earlier)).await;
         Ok(())
--- a/crates/daemon/src/events.rs
+++ b/crates/daemon/src/events.rs
@@ -4,7 +4,7 @@
 use crate::words::Entry;
 use std::rc::Rc;
 use tokio::sync::oneshot;
-use troutknot::{Event as Heard, ListKind, Millis, Outcome, WuId};
+use troutknot::{Event as Heard, ListKind, Millis, NamedValues, Outcome, WuId};
 
 /// An allocation of an earlier life of this node.
 pub struct Earlier {
@@ -32,6 +32,8 @@
         out: bool,
         done: Option<oneshot::Sender<bool>>,
     },
+    /// New settings.
+    Retuned(NamedValues),
     /// The node ends soon: what is out is cut, and nothing more is sent.
     OutOfTime,
     /// The node ends now: what is open gets its last answer.
--- a/crates/daemon/src/executors/mod.rs
+++ b/crates/daemon/src/executors/mod.rs
@@ -6,7 +6,7 @@
 use crate::held::HeldBytes;
 use crate::http1::{AnswerHead, Connection, Failed};
 use crate::limits::Limits;
-use crate::words::{self, Fate, Line, Vocabulary};
+use crate::words::{self, Fate, InForce, Line, Vocabulary};
 use bytes::BytesMut;
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
@@ -31,7 +31,7 @@
 
 pub struct Executors {
     pub limits: Rc<Limits>,
-    pub words: Rc<Vocabulary>,
+    pub words: Rc<InForce<Vocabulary>>,
     pub events: mpsc::Sender<Event>,
     hosts: RefCell<Vec<Rc<Host>>>,
     open: Rc<Cell<usize>>,
@@ -121,7 +121,7 @@
 }
 
 impl Executors {
-    pub fn new(limits: Rc<Limits>, words: Rc<Vocabulary>, events: mpsc::Sender<Event>) -> Rc<Self> {
+    pub fn new(limits: Rc<Limits>, words: Rc<InForce<Vocabulary>>, events: mpsc::Sender<Event>) -> Rc<Self> {
         let rings = HeldBytes::new(limits.executors * 2 * limits.ring);
         Rc::new(Executors { limits, words, events, hosts: RefCell::default(), open: Rc::default(), rings })
     }
@@ -151,7 +151,7 @@
     pub fn shut(&self, executor: ExecutorId) {
         let host = self.host(executor);
         if host.shut.get().is_none() {
-            host.shut.set(Some(Instant::now() + self.limits.drain_wait));
+            host.shut.set(Some(Instant::now() + self.limits.times().drain_wait));
             host.shut_set.notify_waiters();
         }
     }
@@ -173,7 +173,7 @@
 
     /// An idle connection, else a new one. Not sent says that the node has none to spare.
     async fn connect(&self, host: &Host, most: usize) -> Result<Counted, Outcome> {
-        if let Some(connection) = host.take_idle(self.limits.retire_after) {
+        if let Some(connection) = host.take_idle(self.limits.times().retire_after) {
             return Ok(connection);
         }
         if self.open.get() >= most && !self.close_longest_idle() {
@@ -182,7 +182,7 @@
         let addr = host.addr.get().ok_or(Outcome::NoConnection)?;
         self.open.set(self.open.get() + 1);
         let mut made = Counted { connection: None, life: host.life.get(), open: self.open.clone() };
-        match timeout(self.limits.connect_wait, TcpStream::connect(addr)).await {
+        match timeout(self.limits.times().connect_wait, TcpStream::connect(addr)).await {
             Ok(Ok(stream)) => {
                 made.connection = Some(Connection::new(stream, self.limits.ring, &self.rings));
                 Ok(made)
@@ -210,10 +210,10 @@
     /// Guards against connections that stand idle until the executor closes them under a request.
     pub async fn retire_idle(self: Rc<Self>) {
         loop {
-            sleep(self.limits.retire_after / 8).await;
+            sleep(self.limits.times().retire_after / 8).await;
             for host in self.hosts.borrow().iter() {
                 let keeps = |idle: &Idle| {
-                    idle.since.elapsed() < self.limits.retire_after
+                    idle.since.elapsed() < self.limits.times().retire_after
                         && idle.connection.quiet()
                         && !host.is_shut()
                 };
@@ -289,14 +289,14 @@
         let now = Instant::now();
         // Guards against a node that stood still: what it decided before may have been overtaken by news
         // that it has not read yet.
-        let stood = now - push.decided > self.limits.connect_wait + self.limits.standstill;
+        let stood = now - push.decided > self.limits.times().connect_wait + self.limits.standstill;
         if exchange.is_over() || host.is_shut() || now >= push.cut || stood {
             self.put_back(host, connection);
             return (Outcome::NotSent, None);
         }
         let addr = host.addr.get().expect("it was connected to");
         let told = recorded.as_ref().and_then(Lease::told_to_executor);
-        let head = self.words.allocation(&exchange.work, addr, push.cut - now, told);
+        let head = self.words.now().allocation(&exchange.work, addr, push.cut - now, told);
         let parts: [&[u8]; 2] = [&head, &exchange.work.body];
         let written = tokio::select! {
             biased;
@@ -396,7 +396,7 @@
                 biased;
                 () = exchange.over() => return None,
                 () = sleep_until(exchange.limit) => return None,
-                fate = timeout(self.limits.probe_wait, self.ask_fence(host, exchange, lease)) => fate.ok().flatten(),
+                fate = timeout(self.limits.times().probe_wait, self.ask_fence(host, exchange, lease)) => fate.ok().flatten(),
             };
             match fate {
                 Some(Fate::Never) if lease.fenced() => return Some(Outcome::NoConnection),
@@ -416,7 +416,7 @@
 
     async fn ask_fence(&self, host: &Host, exchange: &Exchange, lease: &Lease) -> Option<Fate> {
         let mut connection = self.connect(host, self.limits.executors).await.ok()?;
-        let ask = self.words.fence(&exchange.work.id, lease.fence, lease.age(), host.addr.get()?);
+        let ask = self.words.now().fence(&exchange.work.id, lease.fence, lease.age(), host.addr.get()?);
         connection.write(&[&ask]).await.ok()?;
         let mut head = connection.answer_head().await.ok()?;
         let mut body = BytesMut::new();
@@ -431,14 +431,14 @@
     /// Probes an executor and tells the driver what came of it.
     pub async fn probe(self: Rc<Self>, executor: ExecutorId) {
         let (host, start) = (self.host(executor), Instant::now());
-        let answer = timeout_at(start + self.limits.probe_wait, self.ask(&host)).await;
+        let answer = timeout_at(start + self.limits.times().probe_wait, self.ask(&host)).await;
         if answer.is_err() {
             // Guards against connections to a machine that is cut off: they stay open and silent.
             host.idle.borrow_mut().clear();
         }
         let lag = start.elapsed();
         // Guards against a node that stood still: an answer that waited for it says nothing of now.
-        let late = lag > self.limits.probe_wait + self.limits.standstill;
+        let late = lag > self.limits.times().probe_wait + self.limits.standstill;
         let reading = answer.ok().flatten().filter(|_| !late);
         let lag = lag.as_secs_f64() * 1000.0;
         let (answered, reading) = (reading.is_some(), reading.unwrap_or_default());
@@ -448,12 +448,12 @@
 
     async fn ask(&self, host: &Host) -> Option<Reading> {
         let mut connection = self.connect(host, self.limits.executors).await.ok()?;
-        let ask = self.words.probe(host.addr.get()?);
+        let ask = self.words.now().probe(host.addr.get()?);
         connection.write(&[ask.as_bytes()]).await.ok()?;
         let mut head = connection.answer_head().await.ok()?;
         let mut body = BytesMut::new();
         connection.body(&mut head.body, &mut body, self.limits.ring, false).await.ok()?;
-        let reading = (head.status == 200).then(|| self.words.reading(&head, &body));
+        let reading = (head.status == 200).then(|| self.words.now().reading(&head, &body));
         if head.keep {
             self.put_back(host, connection);
         }
@@ -475,8 +475,8 @@
     fn executors() -> (Rc<Executors>, mpsc::Receiver<Event>) {
         let settings = serde_json::json!({"project_types": [{"name": "render", "hard_limit": 5_000_000}]});
         let settings = settings.as_object().unwrap();
-        let values = troutknot_hosting::named_values(settings).unwrap();
-        let words = Rc::new(Vocabulary::of(settings, &values).unwrap());
+        let adopted = troutknot_hosting::Catalogue::default().adopt(settings).unwrap();
+        let words = InForce::new(Vocabulary::of(settings, adopted));
         let wait = Some(Duration::from_secs(5));
         let limits = Limits::of(&crate::limits::Stated {
             memory_mb: 64,
@@ -604,7 +604,7 @@
                 "moved" => executors.listed(EXECUTOR, Some(b), Some(2.0), true),
                 _ => {}
             }
-            assert_eq!(host.take_idle(executors.limits.retire_after).is_some(), again, "{what}");
+            assert_eq!(host.take_idle(executors.limits.times().retire_after).is_some(), again, "{what}");
             assert_eq!(executors.open.get(), 0, "{what}");
         }
         let old = executors.connect(&host, most).await.ok().unwrap();
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -20,7 +20,7 @@
 mod stage;
 mod words;
 
-use briefing::{Briefing, Own, Understood};
+use briefing::{Briefing, Own, Retuned, Understood, stated};
 use clients::Clients;
 use clock::Clock;
 use driver::Driver;
@@ -44,6 +44,8 @@
 use tokio::time::{Instant, sleep, timeout};
 use tracing_appender::non_blocking::NonBlockingBuilder;
 use troutknot::{Dispatcher, ListKind};
+use troutknot_hosting::Catalogue;
+use words::InForce;
 
 /// Writes the log's waiting lines when it is dropped; to be held until the process ends.
 pub struct LogGuard(#[allow(dead_code)] tracing_appender::non_blocking::WorkerGuard);
@@ -86,7 +88,7 @@
 /// # Errors
 /// One plain line that says why not.
 pub fn check(path: &Path) -> Result<(), String> {
-    let understood = Briefing::read(path)?.understood();
+    let understood = Briefing::read(path)?.understood(&mut Catalogue::default());
     understood.map(|_| ()).map_err(|why| format!("`{}`: {why}", path.display()))
 }
 
@@ -109,24 +111,18 @@
 async fn run(mut told: Briefing, path: PathBuf, passed: Option<std::net::TcpListener>) -> Result<(), String> {
     // A node that is asked to read its configuration again before it serves must not end by that.
     let reread = signal(SignalKind::hangup()).map_err(|e| format!("no signals: {e}"))?;
-    let Understood { seed, values, words } = told.understood()?;
+    let mut catalogue = Catalogue::default();
+    let Understood { seed, values, words } = told.understood(&mut catalogue)?;
     let own_path = OperatorFile::named();
     let file = own_path.as_deref().map(OperatorFile::read).transpose()?.unwrap_or_default();
-    let words = Rc::new(words);
-    let span = |name: &str| {
-        let millis = values.number(name, -1.0);
-        (0.0..1e9).contains(&millis).then(|| Duration::from_secs_f64(millis / 1000.0))
-    };
     let limits = Rc::new(Limits::of(&Stated {
         memory_mb: told.limits.memory_mb,
         sockets: told.limits.sockets,
-        connect_wait: span("limits.connect_wait"),
-        executors_idle: span("limits.idle_connection"),
-        drain_grace: span("rules.drain_grace"),
-        longest: words.longest(),
         consul: file.lists.sources.contains(&Source::Consul),
         durable: file.durable.is_some(),
+        ..stated(&values, &words)
     }));
+    let words = InForce::new(words);
     let mut terminate = signal(SignalKind::terminate()).map_err(|e| format!("no signals: {e}"))?;
     let mut interrupt = signal(SignalKind::interrupt()).map_err(|e| format!("no signals: {e}"))?;
     let cannot = |at: SocketAddr| move |e| format!("cannot listen at {at}: {e}");
@@ -146,7 +142,7 @@
     let executors = Executors::new(limits.clone(), words.clone(), events.clone());
     let status: Rc<RefCell<String>> = Rc::default();
     let durable = match file.durable.clone() {
-        Some(terms) => Some(Durable::start(terms, &limits, clock, &words, &values, &events)?),
+        Some(terms) => Some(Durable::start(terms, &limits, clock, &words, &events)?),
         None => None,
     };
     let clients = Clients::new(
@@ -227,7 +223,8 @@
         spawn_local(Management::new(limits.clone(), events.clone(), stages.clone()).accept(listener));
     }
     let own = Own { path: own_path, file, consul };
-    spawn_local(told.reread(path, reread, discovery, own));
+    let retuned = Retuned { catalogue, limits: limits.clone(), words: words.clone(), events: events.clone() };
+    spawn_local(told.reread(path, reread, discovery, own, retuned));
     let unlisted = sleep(limits.ready_wait);
     tokio::pin!(driver, unlisted);
     loop {
@@ -267,7 +264,7 @@
     events: &mpsc::Sender<Event>,
     passed: bool,
 ) {
-    let asked = Instant::now();
+    let (asked, times) = (Instant::now(), limits.times());
     stages.change(|life| life.way = if passed { Way::Passed } else { Way::Out });
     // Until then after the signal, or until nobody is connected.
     let wait = async |until: Duration| {
@@ -277,21 +274,21 @@
     };
     if passed {
         // Another process takes what still comes.
-        wait(limits.linger).await;
+        wait(times.linger).await;
     } else {
         let mut staged = stages.watch();
-        let _ = timeout(limits.linger, staged.wait_for(|stage| stage.closes_idle())).await;
+        let _ = timeout(times.linger, staged.wait_for(|stage| stage.closes_idle())).await;
     }
     stages.change(|life| life.way = Way::Closing);
-    wait(limits.cut_after).await;
+    wait(times.cut_after).await;
     if clients.connections() > 0 {
         let _ = events.send(Event::OutOfTime).await;
-        wait(limits.end_after).await;
+        wait(times.end_after).await;
     }
     let left = clients.connections();
     if left > 0 {
         let _ = events.send(Event::End).await;
-        wait(limits.end_after + limits.last_words).await;
+        wait(times.end_after + limits.last_words).await;
     }
     tracing::info!("ended with {left} connections still open");
 }
--- a/crates/daemon/src/limits.rs
+++ b/crates/daemon/src/limits.rs
@@ -1,9 +1,10 @@
 //! Sizes, counts and times that the node keeps to. They are filled once, at start, and handed down.
 use crate::ring::FIRST;
+use std::cell::Cell;
 use std::time::Duration;
 
 /// What the deployment states, from which the rest follows.
-#[derive(Default)]
+#[derive(Clone, Default)]
 pub struct Stated {
     pub memory_mb: u64,
     pub sockets: u64,
@@ -18,8 +19,48 @@
     pub durable: bool,
 }
 
-#[derive(Clone, Debug)]
+/// Times that follow from the settings, and from new ones.
+#[derive(Clone, Copy, Debug)]
+pub struct Times {
+    /// The longest that a work unit may be open.
+    pub longest: Duration,
+    pub connect_wait: Duration,
+    pub probe_wait: Duration,
+    /// A pooled connection is not used again after it stood idle for so long.
+    pub retire_after: Duration,
+    /// An executor that drains or is gone is sent nothing that was decided before from then on.
+    pub drain_wait: Duration,
+    /// After the signal to end: until then all goes on as before, then idle connections close; what is out
+    /// is cut; what is still open is answered.
+    pub linger: Duration,
+    pub cut_after: Duration,
+    pub end_after: Duration,
+}
+
+impl Times {
+    pub fn of(stated: &Stated) -> Self {
+        let part = |whole: Duration, of: f64| whole.mul_f64(of);
+        let connect_wait = stated.connect_wait.unwrap_or(Duration::from_secs(1));
+        let most = stated.longest.min(MOST_TO_END);
+        Times {
+            longest: stated.longest,
+            connect_wait,
+            probe_wait: connect_wait,
+            retire_after: part(stated.executors_idle.unwrap_or(Duration::from_secs(1)), 0.7),
+            drain_wait: part(stated.drain_grace.unwrap_or_default(), 0.5),
+            // New connections come for up to 400 ms more. Guards against clients without a way in: they go on
+            // using what they have open, so it stays open for as long as what comes over it may be answered.
+            linger: most.max(Duration::from_millis(650)),
+            // A node that is asked to end has the longest limit, or three seconds, and 700 ms more.
+            cut_after: most + Duration::from_millis(200),
+            end_after: most + Duration::from_millis(500),
+        }
+    }
+}
+
+#[derive(Debug)]
 pub struct Limits {
+    times: Cell<Times>,
     /// Each ring buffer; a message's head must fit in one.
     pub ring: usize,
     /// What the clients' rings hold beyond their first size, all together.
@@ -49,8 +90,6 @@
     pub executors: usize,
     /// Events that may wait for the driver.
     pub events: usize,
-    /// The longest that a work unit may be open.
-    pub longest: Duration,
     /// Ids of work units that are over and still kept in mind, half of them at least.
     pub past_ids: usize,
     /// How long a request may take to come, the first one from the connection on, and an answer to be taken.
@@ -71,16 +110,10 @@
     pub bad_come_back: Duration,
     /// Of what still comes after such a request so much is read.
     pub scrap: usize,
-    pub connect_wait: Duration,
-    pub probe_wait: Duration,
     /// A node that was not run for longer has stood still, and what it knows may be old.
     pub standstill: Duration,
-    /// A pooled connection is not used again after it stood idle for so long.
-    pub retire_after: Duration,
     /// How long after a work unit's result the end of the answer may take, for the connection to be kept.
     pub tail_wait: Duration,
-    /// An executor that drains or is gone is sent nothing that was decided before from then on.
-    pub drain_wait: Duration,
     /// How much sooner than the client gives up a work unit's limit is set, and its last answer sent.
     pub answer_margin: Duration,
     pub last_answer_margin: Duration,
@@ -88,11 +121,6 @@
     pub list_silence: Duration,
     /// The node serves by the list it held before when no newer one has come by then.
     pub ready_wait: Duration,
-    /// After the signal to end: until then all goes on as before, then idle connections close; what is out
-    /// is cut; what is still open is answered.
-    pub linger: Duration,
-    pub cut_after: Duration,
-    pub end_after: Duration,
     /// For the last answers to be written.
     pub last_words: Duration,
 }
@@ -112,6 +140,15 @@
 const MOST_TO_END: Duration = Duration::from_secs(3);
 
 impl Limits {
+    pub fn times(&self) -> Times {
+        self.times.get()
+    }
+
+    /// What new settings state; sizes and counts stay as they were at the start.
+    pub fn retune(&self, stated: &Stated) {
+        self.times.set(Times::of(stated));
+    }
+
     pub fn of(stated: &Stated) -> Self {
         let sockets = stated.sockets.clamp(64, 1 << 20) - SPARE;
         let memory = stated.memory_mb.clamp(16, 1 << 20) as usize * 1024 * 1024;
@@ -125,9 +162,8 @@
             |usual: usize, beside_consul: usize| memory / if stated.consul { beside_consul } else { usual };
         let executors = (connections / 3).min(of(4, 8) / (2 * body)).max(2);
         let clients = connections - turned_away - executors;
-        let part = |whole: Duration, of: f64| whole.mul_f64(of);
-        let connect_wait = stated.connect_wait.unwrap_or(Duration::from_secs(1));
         Limits {
+            times: Cell::new(Times::of(stated)),
             ring,
             client_rings: of(12, 16),
             body,
@@ -144,7 +180,6 @@
             call_ring: 2 * FIRST,
             executors,
             events: 4096,
-            longest: stated.longest,
             past_ids: memory / 4096,
             client_wait: Duration::from_secs(2),
             client_idle: Duration::from_secs(120),
@@ -155,23 +190,13 @@
             full_come_back: Duration::from_millis(50),
             bad_come_back: Duration::from_secs(1),
             scrap: 64 * 1024,
-            connect_wait,
-            probe_wait: connect_wait,
             standstill: Duration::from_millis(100),
-            retire_after: part(stated.executors_idle.unwrap_or(Duration::from_secs(1)), 0.7),
             tail_wait: Duration::from_millis(100),
-            drain_wait: part(stated.drain_grace.unwrap_or_default(), 0.5),
             answer_margin: Duration::from_millis(25),
             last_answer_margin: Duration::from_millis(8),
             // Discovery says something every 2 s.
             list_silence: Duration::from_millis(2600),
             ready_wait: Duration::from_secs(1),
-            // New connections come for up to 400 ms more. Guards against clients without a way in: they go on
-            // using what they have open, so it stays open for as long as what comes over it may be answered.
-            linger: stated.longest.min(MOST_TO_END).max(Duration::from_millis(650)),
-            // A node that is asked to end has the longest limit, or three seconds, and 700 ms more.
-            cut_after: stated.longest.min(MOST_TO_END) + Duration::from_millis(200),
-            end_after: stated.longest.min(MOST_TO_END) + Duration::from_millis(500),
             last_words: Duration::from_millis(100),
         }
     }
--- a/crates/daemon/src/lists/consul.rs
+++ b/crates/daemon/src/lists/consul.rs
@@ -184,7 +184,7 @@
         let deadline = Duration::from_secs_f64(asks.blocking.deadline() / 1000.0);
         let most = self.limits.list_answer;
         let call = async {
-            let stream = timeout(self.limits.connect_wait, TcpStream::connect(addr)).await;
+            let stream = timeout(self.limits.times().connect_wait, TcpStream::connect(addr)).await;
             let stream =
                 stream.map_err(|_| "no connection in time".to_string())?.map_err(|e| e.to_string())?;
             let mut connection =
--- a/crates/daemon/src/lists/platform.rs
+++ b/crates/daemon/src/lists/platform.rs
@@ -4,7 +4,7 @@
 use crate::http1::{Connection, Failed};
 use crate::limits::Limits;
 use crate::lists::Told;
-use crate::words::{self, List, Vocabulary};
+use crate::words::{self, InForce, List, Vocabulary};
 use bytes::BytesMut;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -20,7 +20,7 @@
     /// Where the list is followed; another address is followed at once.
     pub discovery: watch::Receiver<SocketAddr>,
     pub limits: Rc<Limits>,
-    pub words: Rc<Vocabulary>,
+    pub words: Rc<InForce<Vocabulary>>,
     pub told: Told,
     /// Asks for a watch.
     pub ask: Rc<Notify>,
@@ -85,10 +85,10 @@
     async fn watch(&self, discovery: SocketAddr, versions: &mut Versions) -> Result<(), String> {
         let silence = self.limits.list_silence;
         let silent = |_| "silent for too long".to_string();
-        let stream = timeout(self.limits.connect_wait, TcpStream::connect(discovery)).await;
+        let stream = timeout(self.limits.times().connect_wait, TcpStream::connect(discovery)).await;
         let stream = stream.map_err(silent)?.map_err(|e| e.to_string())?;
         let mut connection = Connection::new(stream, self.limits.ring, &HeldBytes::new(2 * self.limits.ring));
-        let ask = self.words.watch(discovery, versions.known);
+        let ask = self.words.now().watch(discovery, versions.known);
         connection.write(&[ask.as_bytes()]).await.map_err(|e| e.to_string())?;
         let said = |e: Failed| e.to_string();
         let mut head = timeout(silence, connection.answer_head()).await.map_err(silent)?.map_err(said)?;
--- a/crates/daemon/src/words.rs
+++ b/crates/daemon/src/words.rs
@@ -5,10 +5,13 @@
 use serde::Deserialize;
 use serde_json::value::RawValue;
 use serde_json::{Map, Value};
+use std::cell::RefCell;
+use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 use troutknot::*;
-use troutknot_hosting::{LoadFields, named_reading, token};
+use troutknot_hosting::{Adopted, LoadFields, named_reading, token};
 use troutknot_ledger::Fence;
 
 const ID: &str = "Request-Id";
@@ -57,21 +60,38 @@
 
 /// The names that the settings give to numbers.
 pub struct Vocabulary {
+    /// By number, all that were ever in force, and the numbers of those that are.
     project_types: Vec<String>,
+    taken_types: HashMap<String, u32>,
     customers: Vec<String>,
+    taken_customers: HashMap<String, u32>,
     places: Vec<String>,
     kinds: Vec<String>,
-    /// The longest that a client waits for each project type.
+    /// Of each project type: the longest that a client waits, and what running twice would do.
     limits: Vec<Duration>,
+    effects: Vec<Effect>,
+    /// How often a work unit that is taken from now on may be sent.
+    most_allocs: usize,
     come_back_told: bool,
     longest_come_back: Millis,
     probe_path: &'static str,
 }
 
-fn names(list: Option<&Value>) -> Vec<String> {
-    let list = list.and_then(Value::as_array).into_iter().flatten();
-    let name = |v: &Value| v.as_str().or_else(|| v.get("name")?.as_str()).unwrap_or("").to_string();
-    list.map(name).collect()
+/// What is in force now of something that operators may replace while the node runs.
+pub struct InForce<T>(RefCell<Rc<T>>);
+
+impl<T> InForce<T> {
+    pub fn new(first: T) -> Rc<Self> {
+        Rc::new(InForce(RefCell::new(Rc::new(first))))
+    }
+
+    pub fn now(&self) -> Rc<T> {
+        self.0.borrow().clone()
+    }
+
+    pub fn replace(&self, by: T) {
+        *self.0.borrow_mut() = Rc::new(by);
+    }
 }
 
 fn place_of(name: &str, names: &[String]) -> Option<u32> {
@@ -79,32 +99,43 @@
 }
 
 impl Vocabulary {
-    pub fn of(settings: &Map<String, Value>, values: &NamedValues) -> Result<Self, String> {
-        let project_types = names(settings.get("project_types"));
-        if project_types.is_empty() {
-            return Err("the settings name no project type".into());
-        }
-        let limit = |k: usize| values.number(&format!("project_types.{k}.hard_limit"), 0.0);
-        let limits: Vec<Millis> = (0..project_types.len()).map(limit).collect();
-        if !limits.iter().all(|l| (1.0..1e9).contains(l)) {
-            return Err("a project type has no hard limit".into());
-        }
-        let reports = !LoadFields::stated(settings).is_empty();
-        Ok(Vocabulary {
+    pub fn of(settings: &Map<String, Value>, adopted: Adopted) -> Self {
+        let Adopted { values, project_types, customers, places, kinds, .. } = adopted;
+        let own = |k: usize, name: &str| format!("project_types.{k}.{name}");
+        let limit = |k: usize| Duration::from_secs_f64(values.number(&own(k, "hard_limit"), 1.0) / 1000.0);
+        let taken = |numbers: &[u32], names: &[String]| {
+            numbers.iter().map(|&number| (names[number as usize].clone(), number)).collect()
+        };
+        Vocabulary {
+            limits: (0..project_types.len()).map(limit).collect(),
+            effects: (0..project_types.len())
+                .map(|k| Effect::named(values.text(&own(k, "effect"))))
+                .collect(),
+            most_allocs: values.number("limits.most_allocations", 1.0) as usize,
+            taken_types: taken(&adopted.types_in_force, &project_types),
+            taken_customers: taken(&adopted.customers_in_force, &customers),
             project_types,
-            customers: names(settings.get("customers")),
-            places: names(settings.get("failure_domains")),
-            kinds: names(settings.get("kinds")),
-            limits: limits.into_iter().map(|l| Duration::from_secs_f64(l / 1000.0)).collect(),
+            customers,
+            places,
+            kinds,
             come_back_told: values.flag("limits.come_back_told"),
             longest_come_back: values.number("limits.longest_come_back", f64::INFINITY),
-            probe_path: if reports { REPORT_PATH } else { PROBE_PATH },
-        })
+            probe_path: if LoadFields::stated(settings).is_empty() { PROBE_PATH } else { REPORT_PATH },
+        }
     }
 
     /// The longest that a client may wait for anything.
     pub fn longest(&self) -> Duration {
-        self.limits.iter().copied().max().unwrap_or_default()
+        let limit = |number: &u32| self.limits[*number as usize];
+        self.taken_types.values().map(limit).max().unwrap_or_default()
+    }
+
+    pub fn effect(&self, project_type: ProjectTypeId) -> Option<Effect> {
+        self.effects.get(project_type.0 as usize).copied()
+    }
+
+    pub fn most_allocs(&self) -> usize {
+        self.most_allocs
     }
 
     /// Reads a work unit out of a request's head, without its body, and how long its client will wait; or
@@ -116,7 +147,7 @@
         }
         let path = head.target.split('?').next().unwrap_or("");
         let first = path.strip_prefix('/').ok_or((400, "odd target"))?.split('/').next().unwrap_or("");
-        let named = place_of(first, &self.project_types).ok_or((404, "unknown path"))?;
+        let named = *self.taken_types.get(first).ok_or((404, "unknown path"))?;
         if one(TYPE)?.is_some_and(|said| said != first) {
             return Err((400, "header and path name two project types"));
         }
@@ -127,7 +158,7 @@
             one(ID)?.filter(|id| (1..=64).contains(&id.len()) && id.bytes().all(|b| b.is_ascii_graphic()));
         let id = id.ok_or((400, "no id, or an odd one"))?.to_string();
         let customer = match one(CUSTOMER)? {
-            Some(name) => place_of(name, &self.customers).ok_or((400, "unknown customer"))?,
+            Some(name) => *self.taken_customers.get(name).ok_or((400, "unknown customer"))?,
             None => 0,
         };
         let longest = self.limits[named as usize];
@@ -197,8 +228,8 @@
 
     /// What such names stand for now; none where the project type is not known.
     pub fn places_of(&self, project_type: &str, customer: &str) -> Option<(ProjectTypeId, CustomerId)> {
-        let project_type = place_of(project_type, &self.project_types)?;
-        let customer = place_of(customer, &self.customers).unwrap_or(0);
+        let project_type = *self.taken_types.get(project_type)?;
+        let customer = self.taken_customers.get(customer).copied().unwrap_or(0);
         Some((ProjectTypeId(project_type), CustomerId(customer)))
     }
 
--- a/crates/daemon/tests/node.rs
+++ b/crates/daemon/tests/node.rs
@@ -403,9 +403,9 @@
         (with("/listen", json!("192.0.2.1:1")), "cannot listen at"),
         (with("/seed", json!("none")), "odd seed"),
         (with("/limits", json!({"memory_mb": -1, "sockets": 64})), "invalid value"),
-        (with("/settings", json!({})), "no project type"),
+        (with("/settings", json!({})), "names none"),
         (with("/settings/project_types/0/hard_limit", json!("long")), "wrong type"),
-        (with("/settings/project_types/0/hard_limit", json!(0)), "no hard limit"),
+        (with("/settings/project_types/0/hard_limit", json!(0)), "not a positive number"),
     ] {
         let out = launch(&config_file(&config), "info").wait_with_output().unwrap();
         let said = String::from_utf8(out.stderr).unwrap();
--- a/crates/daemon/tests/operation.rs
+++ b/crates/daemon/tests/operation.rs
@@ -146,6 +146,84 @@
     assert!(operated.node.logged("ended with").contains("ended with 0"));
 }
 
+/// Project types by name, effect and limit in seconds.
+fn types(of: &[(&str, &str, u64)], attempts: u64) -> Value {
+    let mut settings = settings();
+    let like = settings["project_types"][0].clone();
+    let kind = |(name, effect, limit): &(&str, &str, u64)| {
+        let mut kind = like.clone();
+        (kind["name"], kind["effect"]) = (json!(name), json!(effect));
+        kind["hard_limit"] = json!(limit * 1_000_000);
+        kind
+    };
+    settings["project_types"] = of.iter().map(kind).collect();
+    settings["limits"]["max_allocations"] = json!(attempts);
+    settings
+}
+
+#[test]
+fn new_settings_hold_for_new_work_and_a_broken_file_changes_nothing() {
+    let (executor, discovery) = one_executor();
+    let operated = Operated::start(&discovery, |_| ());
+    let node = &operated.node;
+    let mut config = node.config.clone();
+    let retune = |config: &Value, logged: &str| {
+        node.reread(&config.to_string());
+        node.logged(logged)
+    };
+    let post = |name: &str, acts: &[Act]| {
+        executor.acts.lock().unwrap().extend(acts.iter());
+        let status = node.ask(work(name, &new_id(), 3.0, "")).0;
+        executor.acts.lock().unwrap().clear();
+        status
+    };
+    let loses = [Act::Lost, Act::Lost, Act::Done];
+    assert_eq!((post("render", &loses), post("publish", &loses)), (200, 502));
+    // Out under the terms of its arrival while render gets stricter, publish vanishes and attempts get fewer.
+    executor.acts.lock().unwrap().extend([Act::WaitAndLose, Act::Lost, Act::Done]);
+    let mut under_way = node.connect();
+    executor.seen.lock().unwrap().clear();
+    under_way.get_mut().write_all(work("render", &new_id(), 9.0, "").as_bytes()).unwrap();
+    executor.wait_for(1);
+    config["settings"] = types(&[("render", "unsafe", 20), ("thumb", "safe", 2)], 2);
+    retune(&config, "settings are new, for work from now on");
+    executor.go_on.send(()).unwrap();
+    assert_eq!(answer(&mut under_way).0, 200, "it is sent three times, as when it came");
+    for (name, acts, status) in [
+        ("render", &loses[..], 502),
+        ("publish", &[][..], 404),
+        ("thumb", &loses[1..], 200),
+        ("thumb", &[Act::TurnedAway, Act::TurnedAway, Act::Done], 503),
+    ] {
+        assert_eq!(post(name, acts), status, "{name} {acts:?}");
+    }
+    let good = config.clone();
+    for (at, value, said) in [
+        ("/settings/project_types/1/hard_limit", json!(0), "`thumb`: `hard_limit` is not a positive number"),
+        ("/settings/project_types/1/name", json!("other"), "`other` stands there twice"),
+        ("/settings/limits/max_allocations", json!(-1), "`limits.max_allocations` is not a positive number"),
+        ("/settings/contract", json!({}), "`contract.drain_grace` is missing"),
+        ("/settings", json!({}), "names none"),
+        ("/seed", json!("zz"), "odd seed"),
+    ] {
+        let mut bad = good.clone();
+        // What comes before the fault must not be taken either.
+        bad["settings"]["project_types"][0]["name"] = json!("other");
+        *bad.pointer_mut(at).unwrap() = value;
+        let line = retune(&bad, "new configuration not taken");
+        assert!(line.contains(&node.path) && line.contains(said), "{line}");
+        assert_eq!((post("other", &[]), post("render", &[]), post("thumb", &[])), (404, 200, 200), "{at}");
+    }
+    node.reread(&good.to_string()[..500]);
+    node.logged("new configuration not taken");
+    // Two files within a second: the last one holds.
+    config["settings"] = types(&[("thumb", "safe", 2)], 3);
+    retune(&config, "settings are new");
+    config["settings"] = types(&[("publish", "unsafe", 2), ("render", "safe", 2)], 3);
+    retune(&config, "settings are new");
+    assert_eq!((post("publish", &loses), post("render", &loses), post("thumb", &[])), (502, 200, 404));
+}
+
 /// Starts a process with this socket as descriptor 5.
 fn start_on(socket: &TcpListener, discovery: &Discovery) -> Operated {
     let fd = socket.try_clone().unwrap().into();
--- a/crates/hosting/src/lib.rs
+++ b/crates/hosting/src/lib.rs
@@ -1,7 +1,9 @@
 //! What every host of the dispatcher needs, said once: the settings under our own names, load readings, the
 //! dense numbers of executors, and the tokens that stand for them at every node alike.
+mod catalogue;
 mod naming;
 
+pub use catalogue::{Adopted, Catalogue};
 pub use naming::named_values;
 use serde_json::{Map, Value};
 use std::collections::HashMap;
--- a/crates/hosting/src/naming.rs
+++ b/crates/hosting/src/naming.rs
@@ -71,7 +71,10 @@
 }
 
 fn walk(path: &str, at: &mut Vec<usize>, value: &Value, values: &mut NamedValues) -> Result<(), String> {
+    let known = NAMES.iter().find(|(wire, ..)| *wire == path);
+    let wrong = || format!("setting `{path}`: {value} is of the wrong type");
     match value {
+        Value::Object(_) | Value::Array(_) if known.is_some() => return Err(wrong()),
         Value::Object(fields) => {
             for (key, field) in fields {
                 walk(&format!("{path}.{key}"), at, field, values)?;
@@ -86,8 +89,7 @@
         }
         Value::Null => {}
         _ => {
-            if let Some((_, ours, kind)) = NAMES.iter().find(|(wire, ..)| *wire == path) {
-                let wrong = || format!("setting `{path}`: {value} is of the wrong type");
+            if let Some((_, ours, kind)) = known {
                 let given = match kind {
                     Number => Given::Number(value.as_f64().ok_or_else(wrong)?),
                     Micros => Given::Number(value.as_f64().ok_or_else(wrong)? / 1000.0),
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -66,12 +66,14 @@
     limit: Millis,
     credit: f64,
     only_kind: Option<MachineKindId>,
+    most_allocs: usize,
     /// Smoothed running time; the promised turnaround stands in until an allocation has ended.
     run: Millis,
     runs_seen: f64,
 }
 
 /// The figures of the rule that no cold executor is pushed over.
+#[derive(Default)]
 struct ColdRule {
     share: f64,
     ramp: Millis,
@@ -199,7 +201,6 @@
     credit_over: f64,
     by_work: bool,
     cold: ColdRule,
-    most_allocs: usize,
     nodes: f64,
     come_back_told: bool,
     /// Where this node stands, if the settings price a push to another place.
@@ -346,12 +347,42 @@
 
 impl Dispatcher {
     pub fn new(values: NamedValues, seed: u64, now: Millis) -> Self {
-        let mut types = Vec::new();
-        while values.holds(&format!("project_types.{}.hard_limit", types.len())) {
-            let own = |name: &str| format!("project_types.{}.{name}", types.len());
+        let ask_at = if values.text("list_mode") == "asked" { now } else { f64::INFINITY };
+        let mut this = Dispatcher {
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            types: Vec::new(),
+            shares: Vec::new(),
+            credit_over: 1.0,
+            by_work: false,
+            cold: ColdRule::default(),
+            nodes: 1.0,
+            come_back_told: false,
+            home: None,
+            fleet: Fleet { mean_run: READING_LIFE, least_slots: 1.0, ..Fleet::default() },
+            wus: HashMap::new(),
+            held: Vec::new(),
+            touched: Vec::new(),
+            probes_wanted: Vec::new(),
+            wakes: BTreeSet::new(),
+            wake_set: f64::INFINITY,
+            monitoring: Monitoring { draws: 2, at: now, ..Monitoring::default() },
+            following: Following { ask_at, stood: false, failures: 0, ask_every: 0.0 },
+            log: Vec::new(),
+        };
+        this.retune(now, &values);
+        this
+    }
+
+    /// Takes settings. A work unit keeps the project type that it came with, and so all terms of it: those that
+    /// are known stay as they are, and only further ones are read.
+    pub fn retune(&mut self, now: Millis, values: &NamedValues) {
+        while values.holds(&format!("project_types.{}.hard_limit", self.types.len())) {
+            let own = |name: &str| format!("project_types.{}.{name}", self.types.len());
             let number = |name: &str| values.number(&own(name), 0.0);
             let kind = values.number(&own("only_kind"), -1.0);
-            types.push(ProjectType {
+            let like = self.types.get(values.number(&own("like"), f64::INFINITY) as usize);
+            let most_allocs = values.number("limits.most_allocations", 1.0);
+            self.types.push(ProjectType {
                 effect: Effect::named(values.text(&own("effect"))),
                 scope: RepeatScope::named(values.text(&own("repeat_scope"))),
                 window: number("window"),
@@ -360,48 +391,33 @@
                 limit: number("hard_limit"),
                 credit: number("credit"),
                 only_kind: (kind >= 0.0).then_some(MachineKindId(kind as u32)),
-                run: number("promised_turnaround"),
-                runs_seen: 0.0,
+                most_allocs: values.number(&own("most_allocations"), most_allocs) as usize,
+                run: like.map_or(number("promised_turnaround"), |like| like.run),
+                runs_seen: like.map_or(0.0, |like| like.runs_seen),
             });
         }
-        let nodes = values.number("nodes", 1.0).max(1.0);
-        let part = (UNEVEN / nodes).min(1.0);
+        self.nodes = values.number("nodes", 1.0).max(1.0);
+        self.fleet.part = (UNEVEN / self.nodes).min(1.0);
         let share = |k: usize| format!("customers.{k}.share_per_s");
-        let per_ms = |k| values.number(&share(k), 0.0) * part / 1000.0;
-        let full = |k| Share { left: f64::INFINITY, at: now, per_ms: per_ms(k) };
-        let shares = (0..).take_while(|&k| values.holds(&share(k))).map(full).collect();
-        let price = values.number("prices.probe", 0.0);
-        let ask_at = if values.text("list_mode") == "asked" { now } else { f64::INFINITY };
-        let ask_every = values.number("rules.ask_every", 10_000.0);
-        Dispatcher {
-            rng: ChaCha8Rng::seed_from_u64(seed),
-            types,
-            shares,
-            credit_over: values.number("credit_over_share", 1.0),
-            by_work: values.text("credit_by") == "work",
-            cold: ColdRule {
-                share: values.number("rules.cold_share", 1.0),
-                ramp: values.number("rules.ramp_time", 0.0),
-                fall: values.number("rules.fall", 0.0),
-                multiple: values.number("rules.fall_multiple", 1.0),
-                node: values.holds("node").then_some(values.number("node", 0.0) as u64),
-            },
-            nodes,
-            most_allocs: values.number("limits.most_allocations", 1.0) as usize,
-            come_back_told: values.flag("limits.come_back_told"),
-            home: (values.number("prices.cross_place", 0.0) > 0.0)
-                .then_some(PlaceId(values.number("place", 0.0) as u32)),
-            fleet: Fleet { mean_run: READING_LIFE, part, least_slots: 1.0, ..Fleet::default() },
-            wus: HashMap::new(),
-            held: Vec::new(),
-            touched: Vec::new(),
-            probes_wanted: Vec::new(),
-            wakes: BTreeSet::new(),
-            wake_set: f64::INFINITY,
-            monitoring: Monitoring { draws: 2, at: now, price, ..Monitoring::default() },
-            following: Following { ask_at, stood: false, failures: 0, ask_every },
-            log: Vec::new(),
-        }
+        let named = (0..).take_while(|&k| values.holds(&share(k))).count();
+        self.shares.resize_with(named, || Share { left: f64::INFINITY, at: now, per_ms: 0.0 });
+        for (k, of) in self.shares.iter_mut().enumerate() {
+            of.per_ms = values.number(&share(k), 0.0) * self.fleet.part / 1000.0;
+        }
+        self.credit_over = values.number("credit_over_share", 1.0);
+        self.by_work = values.text("credit_by") == "work";
+        self.cold = ColdRule {
+            share: values.number("rules.cold_share", 1.0),
+            ramp: values.number("rules.ramp_time", 0.0),
+            fall: values.number("rules.fall", 0.0),
+            multiple: values.number("rules.fall_multiple", 1.0),
+            node: values.holds("node").then_some(values.number("node", 0.0) as u64),
+        };
+        self.come_back_told = values.flag("limits.come_back_told");
+        self.home = (values.number("prices.cross_place", 0.0) > 0.0)
+            .then_some(PlaceId(values.number("place", 0.0) as u32));
+        self.monitoring.price = values.number("prices.probe", 0.0);
+        self.following.ask_every = values.number("rules.ask_every", 10_000.0);
     }
 
     /// Takes in one event; what follows from it is emitted by the next `emit`.
@@ -739,8 +755,8 @@
     /// Draws d ready executors with replacement and wants a probe to each distinct one.
     fn draw(&mut self, now: Millis, wu: WuId) {
         let Some(w) = self.wus.get(&wu) else { return };
-        if now >= w.limit || w.allocs.len() >= self.most_allocs || self.may_resend(now, w).0 == Resend::Never
-        {
+        let most = self.types[w.project_type].most_allocs;
+        if now >= w.limit || w.allocs.len() >= most || self.may_resend(now, w).0 == Resend::Never {
             return self.give_up(now, wu);
         }
         let mut but: Vec<ExecutorId> = w.allocs.iter().map(|a| a.executor).collect();
--- a/src/terms.rs
+++ b/src/terms.rs
@@ -53,6 +53,14 @@
         self.0.insert(name.into(), given);
     }
 
+    pub fn get(&self, name: &str) -> Option<&Given> {
+        self.0.get(name)
+    }
+
+    pub fn iter(&self) -> impl Iterator<Item = (&str, &Given)> {
+        self.0.iter().map(|(name, given)| (name.as_str(), given))
+    }
+
     pub fn holds(&self, name: &str) -> bool {
         self.0.contains_key(name)
     }
