--- a/crates/daemon/src/clients/mod.rs
+++ b/crates/daemon/src/clients/mod.rs
@@ -2,6 +2,7 @@
 use crate::durable::{Durable, Found, Joint};
 use crate::events::Event;
 use crate::exchange::{Answer, Exchange, Work};
+use crate::handover::{Beside, form::Message};
 use crate::held::HeldBytes;
 use crate::http1::{self, Connection, Failed};
 use crate::limits::Limits;
@@ -26,6 +27,8 @@
     /// What is said beside the health, where the operator's file asks for more than the platform has.
     status: Rc<RefCell<String>>,
     durable: Option<Rc<Durable>>,
+    /// Another process of this node, if one runs.
+    beside: Rc<Beside>,
     pub held: Rc<HeldBytes>,
     rings: Rc<HeldBytes>,
     slow_bodies: Semaphore,
@@ -64,12 +67,11 @@
 
 impl PastIds {
     /// False where it was taken before. Guards against a repeat of what has just ended.
-    fn take(&mut self, id: &str, limits: &Limits) -> bool {
+    fn take(&mut self, id: u64, limits: &Limits) -> bool {
         if self.turned.elapsed() >= limits.times().longest || self.newer.len() >= limits.past_ids / 2 {
             self.older = std::mem::take(&mut self.newer);
             self.turned = Instant::now();
         }
-        let id = troutknot_hosting::token(id);
         !self.older.contains(&id) && self.newer.insert(id)
     }
 }
@@ -103,10 +105,12 @@
         stage: watch::Receiver<Stage>,
         status: Rc<RefCell<String>>,
         durable: Option<Rc<Durable>>,
+        beside: Rc<Beside>,
     ) -> Rc<Self> {
         let next_wu = durable.as_ref().map_or(0, |durable| durable.next_wu());
         Rc::new(Clients {
             durable,
+            beside,
             words,
             events,
             stage,
@@ -132,6 +136,23 @@
         self.open.borrow().len()
     }
 
+    /// Ids that were taken, as tokens.
+    pub fn ids_lately(&self) -> Vec<u64> {
+        let past = self.past.borrow();
+        past.older.iter().chain(&past.newer).copied().collect()
+    }
+
+    /// Another process of this node has taken these.
+    pub fn taken_elsewhere(&self, ids: &[u64]) {
+        let mut past = self.past.borrow_mut();
+        ids.iter().for_each(|id| _ = past.take(*id, &self.limits));
+    }
+
+    /// Clients that this process may serve beside what another one of the node has open.
+    fn most(&self) -> usize {
+        self.limits.clients.saturating_sub(self.beside.other().clients)
+    }
+
     /// Accepts connections until the node ends. From a socket that was passed on nothing is accepted before
     /// the node has its list, nor once it is asked to end: another process has it, too.
     pub async fn accept(self: Rc<Self>, listener: TcpListener, passed: bool) {
@@ -140,10 +161,15 @@
             return;
         }
         loop {
+            // Another process may have the clients only as long as it lives.
+            let now = *stage.borrow_and_update();
+            if passed && now == Stage::Closing {
+                return;
+            }
             let accepted = tokio::select! {
                 biased;
-                _ = stage.wait_for(|stage| matches!(stage, Stage::Passing | Stage::Closing)), if passed => return,
-                accepted = self.accept_one(&listener) => accepted,
+                changed = stage.changed(), if passed => if changed.is_ok() { continue } else { return },
+                accepted = self.accept_one(&listener), if !passed || now != Stage::Passing => accepted,
             };
             match accepted {
                 Ok((stream, _)) => {
@@ -161,7 +187,7 @@
 
     /// Nothing is lost where this is dropped.
     async fn accept_one(&self, listener: &TcpListener) -> std::io::Result<(TcpStream, SocketAddr)> {
-        while self.connections() >= self.limits.clients + self.limits.turned_away {
+        while self.connections() >= self.most() + self.limits.turned_away {
             self.make_room();
             self.wait_for_an_end().await;
         }
@@ -175,7 +201,7 @@
     /// Room for one more. Guards against crowds that connect and say nothing: as long as one of them may be
     /// closed soon, a newcomer waits that moment and is not turned away.
     async fn room(&self) -> bool {
-        while self.connections() >= self.limits.clients && !self.make_room() {
+        while self.connections() >= self.most() && !self.make_room() {
             if !self.open.borrow().values().any(|s| s.is_fresh()) {
                 return false;
             }
@@ -283,7 +309,7 @@
                         Ok(Some(answer)) => answer,
                         Err(status) => return self.reject(connection, standing, status).await,
                     };
-                    let room = self.connections() <= self.limits.clients;
+                    let room = self.connections() <= self.most();
                     let keep = keep && room && !self.stage.borrow().ends_connections();
                     let (status, fields, result) = self.words.now().answer(&answer);
                     let written = self.write(connection, status, keep, &fields, &result).await;
@@ -299,7 +325,7 @@
                             let answer = self.wait(connection, &exchange, last).await;
                             self.ids.borrow_mut().remove(&exchange.work.id);
                             // Over its limit the node keeps no connection, so that those that wait are taken.
-                            (answer, self.connections() <= self.limits.clients)
+                            (answer, self.connections() <= self.most())
                         }
                         Err(None) => {
                             let soon = self.limits.full_come_back.as_secs_f64() * 1000.0;
@@ -396,9 +422,11 @@
         let exchange =
             (!full).then(|| Exchange::new(WuId(self.next_wu.get()), work, limit, &self.held)).flatten();
         let exchange = exchange.ok_or(None)?;
-        if !self.past.borrow_mut().take(&id, &self.limits) {
+        let token = troutknot_hosting::token(&id);
+        if !self.past.borrow_mut().take(token, &self.limits) {
             return Err(Some(409));
         }
+        self.beside.say(Message::Ids { ids: vec![token] });
         self.next_wu.set(self.next_wu.get() + 1);
         self.ids.borrow_mut().insert(id);
         Ok((exchange, last))
@@ -502,7 +530,7 @@
         let (events, mut told) = mpsc::channel(16);
         let stages = crate::stage::Stages::new();
         stages.change(|life| life.listed = true);
-        let clients = Clients::new(limits, words, events, stages.watch(), Rc::default(), None);
+        let clients = Clients::new(limits, words, events, stages.watch(), Rc::default(), None, Rc::default());
         let whole = "POST /render HTTP/1.1\r\nHost: a\r\nRequest-Id: 1\r\nConnection: close\r\n\
                      Content-Length: 2\r\n\r\nab";
         let local = tokio::task::LocalSet::new();
--- a/crates/daemon/src/driver.rs
+++ b/crates/daemon/src/driver.rs
@@ -1,10 +1,12 @@
 //! Owns the dispatcher: tells it what the sides saw, and hands each of its actions to the side that acts.
 use crate::clock::Clock;
-use crate::events::{Earlier, Event};
+use crate::events::{Asked, Earlier, Event};
 use crate::exchange::{Answer, Exchange, Stop};
 use crate::executors::{Executors, Push};
+use crate::handover::Beside;
+use crate::handover::form::{self, Inherited, Message};
 use crate::roster::Roster;
-use crate::stage::Stages;
+use crate::stage::{Drain, Stages};
 use crate::words::{Entry, InForce, Vocabulary};
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
@@ -37,6 +39,8 @@
     numbers: Numbers,
     events: mpsc::Receiver<Event>,
     stages: Rc<Stages>,
+    /// Another process of this node, if one runs.
+    beside: Rc<Beside>,
     roster: Roster,
     open: BTreeMap<WuId, Open>,
     wake: Option<Instant>,
@@ -57,11 +61,12 @@
             dispatcher,
             clock,
             words,
-            executors,
             follow,
             numbers: Numbers::default(),
             events,
             stages,
+            beside: executors.beside.clone(),
+            executors,
             roster: Roster::default(),
             open: BTreeMap::new(),
             wake: None,
@@ -155,14 +160,9 @@
                 heard
             }
             Event::List(kind, entries, version) => self.list(kind, entries, version),
-            Event::LeaveOut { executor, out, done } => {
-                let (known, changed) = self.leave_out(&executor, out);
-                if let Some(told) = changed {
-                    self.dispatcher.tell(now, told);
-                }
-                done.map(|done| done.send(known));
-                return;
-            }
+            Event::LeaveOut { executor, out, asked } => return self.called(now, executor, out, asked),
+            Event::HandOver => return self.hand_over(now),
+            Event::Beside(runs) => Heard::Beside { runs },
             Event::Retuned(values) => return self.dispatcher.retune(now, &values),
             Event::OutOfTime => {
                 self.out_of_time = true;
@@ -248,15 +248,99 @@
         listing
     }
 
-    /// Leaves an executor out by hand, or lets it serve again: whether it is known, and what changes by that.
-    fn leave_out(&mut self, name: &str, out: bool) -> (bool, Option<Heard>) {
-        if !self.numbers.knows(name) {
-            return (false, None);
+    /// Leaves an executor out by hand, or lets it serve again, here and in the other process of this node.
+    fn called(&mut self, now: Millis, name: String, out: bool, asked: Asked) {
+        let most = self.executors.limits.known;
+        let known = self.numbers.knows(&name);
+        let executor = match &asked {
+            Asked::ByHand(_) => known.then(|| self.numbers.of(&name)),
+            Asked::ByOther(_) => self.numbers.of_at_most(&name, most),
+        };
+        let changed =
+            executor.and_then(|executor| Some((executor, self.roster.leave_out(executor, &name, out)?)));
+        if let Some((executor, entry)) = changed {
+            let entries = vec![self.take(executor, entry)];
+            self.dispatcher.tell(now, Heard::ListTold { kind: ListKind::ByHand, entries });
+        }
+        match asked {
+            Asked::ByHand(done) if known => {
+                self.beside.mirror(|number| Message::LeaveOut { executor: name, out, number }, done);
+            }
+            Asked::ByHand(done) => _ = done.send(false),
+            Asked::ByOther(number) => self.beside.say(Message::Done { number }),
+        }
+    }
+
+    /// Tells a next process of this node what is known here.
+    fn hand_over(&mut self, now: Millis) {
+        let beside = &self.beside;
+        let say = |messages: Vec<Message>| messages.into_iter().for_each(|message| beside.say(message));
+        let out: Vec<String> = self.roster.out().iter().cloned().collect();
+        say(form::in_lines(&out, |executors| Message::Out { executors }));
+        say(vec![Message::Drained { drained: self.stages.life().drain != Drain::None, number: 0 }]);
+        let (entries, version): (Vec<Entry>, _) =
+            (self.roster.listed().cloned().collect(), self.roster.version);
+        say(form::in_lines(&entries, |entries| Message::List { version, entries }));
+        let learned = self.dispatcher.learned(now);
+        let known = |l: LearnedExecutor| form::Known {
+            id: self.numbers.name(l.executor).to_string(),
+            failed: l.failed,
+            judged: l.judged,
+            slots: l.slots,
+            cold_spent: l.cold_spent,
+        };
+        let executors: Vec<form::Known> = learned.executors.into_iter().map(known).collect();
+        say(form::in_lines(&executors, |executors| Message::Executors { executors }));
+        let words = self.words.now();
+        let run = |(name, kind): (&str, ProjectTypeId)| {
+            learned.runs.get(kind.0 as usize).map(|&(run, seen)| (name.to_string(), run, seen))
+        };
+        say(vec![
+            Message::Work(form::Work {
+                types: words.taken_types().filter_map(run).collect(),
+                mean_run: learned.mean_run,
+                waiting_share: learned.waiting_share,
+                lag: learned.lag,
+                draws: learned.draws,
+            }),
+            Message::Told,
+        ]);
+    }
+
+    /// Begins with what a process before this one knew; the list was told.
+    pub fn take_over(&mut self, now: Millis, inherited: Inherited) {
+        let words = self.words.now();
+        let mut runs =
+            vec![(0.0, 0.0); words.taken_types().map(|(_, kind)| kind.0 as usize + 1).max().unwrap_or(0)];
+        let work = inherited.work.unwrap_or_default();
+        for (name, kind) in words.taken_types() {
+            if let Some((_, run, seen)) = work.types.iter().find(|(other, ..)| other == name) {
+                runs[kind.0 as usize] = (*run, *seen);
+            }
         }
-        let executor = self.numbers.of(name);
-        let Some(entry) = self.roster.leave_out(executor, name, out) else { return (true, None) };
-        let entries = vec![self.take(executor, entry)];
-        (true, Some(Heard::ListTold { kind: ListKind::ByHand, entries }))
+        let known = |k: form::Known| {
+            self.numbers.knows(&k.id).then(|| LearnedExecutor {
+                executor: self.numbers.of(&k.id),
+                failed: k.failed,
+                judged: k.judged,
+                slots: k.slots,
+                cold_spent: k.cold_spent,
+            })
+        };
+        let learned = Learned {
+            executors: inherited.executors.into_iter().filter_map(known).collect(),
+            runs,
+            mean_run: work.mean_run,
+            waiting_share: work.waiting_share,
+            lag: work.lag,
+            draws: work.draws,
+        };
+        self.dispatcher.tell(now, Heard::Learned(learned));
+    }
+
+    /// Who is out by hand from the start.
+    pub fn leave_out(&mut self, out: BTreeSet<String>) {
+        self.roster.inherit(out);
     }
 
     fn act(&mut self, action: Action) {
--- a/crates/daemon/src/events.rs
+++ b/crates/daemon/src/events.rs
@@ -16,6 +16,14 @@
     pub lease: Lease,
 }
 
+/// Where a call came.
+pub enum Asked {
+    /// Here; who waits hears whether the executor is known.
+    ByHand(oneshot::Sender<bool>),
+    /// To the other process of this node, which knows it and counts what it asks for.
+    ByOther(u64),
+}
+
 /// What the sides tell the driver.
 pub enum Event {
     Arrived(Rc<Exchange>),
@@ -26,12 +34,16 @@
     Heard(Heard),
     /// And its version, where its source counts them.
     List(ListKind, Vec<Entry>, Option<u64>),
-    /// An operator leaves an executor out, or lets it serve again; who waits hears whether it is known.
+    /// An operator leaves an executor out, or lets it serve again.
     LeaveOut {
         executor: String,
         out: bool,
-        done: Option<oneshot::Sender<bool>>,
+        asked: Asked,
     },
+    /// A next process of this node is to be told all that is known here.
+    HandOver,
+    /// Whether another process of this node runs.
+    Beside(bool),
     /// New settings.
     Retuned(NamedValues),
     /// The node ends soon: what is out is cut, and nothing more is sent.
--- a/crates/daemon/src/executors/mod.rs
+++ b/crates/daemon/src/executors/mod.rs
@@ -3,6 +3,7 @@
 use crate::durable::Lease;
 use crate::events::Event;
 use crate::exchange::{Answer, Exchange, Stop};
+use crate::handover::Beside;
 use crate::held::HeldBytes;
 use crate::http1::{AnswerHead, Connection, Failed};
 use crate::limits::Limits;
@@ -33,6 +34,8 @@
     pub limits: Rc<Limits>,
     pub words: Rc<InForce<Vocabulary>>,
     pub events: mpsc::Sender<Event>,
+    /// Another process of this node, if one runs.
+    pub beside: Rc<Beside>,
     hosts: RefCell<Vec<Rc<Host>>>,
     open: Rc<Cell<usize>>,
     rings: Rc<HeldBytes>,
@@ -121,9 +124,15 @@
 }
 
 impl Executors {
-    pub fn new(limits: Rc<Limits>, words: Rc<InForce<Vocabulary>>, events: mpsc::Sender<Event>) -> Rc<Self> {
+    pub fn new(
+        limits: Rc<Limits>,
+        words: Rc<InForce<Vocabulary>>,
+        events: mpsc::Sender<Event>,
+        beside: Rc<Beside>,
+    ) -> Rc<Self> {
         let rings = HeldBytes::new(limits.executors * 2 * limits.ring);
-        Rc::new(Executors { limits, words, events, hosts: RefCell::default(), open: Rc::default(), rings })
+        let (hosts, open) = (RefCell::default(), Rc::default());
+        Rc::new(Executors { limits, words, events, beside, hosts, open, rings })
     }
 
     /// What the list says of one executor. One that is not healthy is sent nothing after the wait.
@@ -156,6 +165,10 @@
         }
     }
 
+    pub fn connections(&self) -> usize {
+        self.open.get()
+    }
+
     fn host(&self, executor: ExecutorId) -> Rc<Host> {
         let mut hosts = self.hosts.borrow_mut();
         while hosts.len() <= executor.0 as usize {
@@ -176,7 +189,8 @@
         if let Some(connection) = host.take_idle(self.limits.times().retire_after) {
             return Ok(connection);
         }
-        if self.open.get() >= most && !self.close_longest_idle() {
+        let open = self.open.get() + self.beside.other().executors;
+        if open >= most && !self.close_longest_idle() {
             return Err(Outcome::NotSent);
         }
         let addr = host.addr.get().ok_or(Outcome::NoConnection)?;
@@ -486,7 +500,7 @@
             ..Default::default()
         });
         let (events, told) = mpsc::channel(16);
-        (Executors::new(Rc::new(limits), words, events), told)
+        (Executors::new(Rc::new(limits), words, events, Rc::default()), told)
     }
 
     fn exchange() -> Rc<Exchange> {
--- /dev/null
+++ b/crates/daemon/src/handover/mod.rs
@@ -0,0 +1,350 @@
+//! Two processes that are one node while one follows the other. The newer asks the older over a Unix socket in
+//! `$TMPDIR` and takes over what it is told; from then on each tells the other what changes. Only where the
+//! platform passes the clients' socket on.
+pub mod form;
+
+use crate::clients::Clients;
+use crate::events::{Asked, Event};
+use crate::executors::Executors;
+use crate::limits::Limits;
+use crate::stage::{Stage, Stages, Way};
+use form::{Bounds, Holds, Inherited, Message};
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::io;
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
+use tokio::net::unix::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::{UnixListener, UnixStream};
+use tokio::sync::{mpsc, oneshot};
+use tokio::task::spawn_local;
+use tokio::time::{sleep, timeout};
+
+/// How long a newer process waits to be told everything, of the six seconds that it has to be ready.
+const ASK_WAIT: Duration = Duration::from_millis(4500);
+/// A process that takes no message for so long is given up.
+const SAY_WAIT: Duration = Duration::from_secs(2);
+/// How often each says what it holds.
+const HOLDS_EVERY: Duration = Duration::from_millis(40);
+/// Messages that may wait to be written; one that is further behind is given up.
+const QUEUE: usize = 8192;
+
+/// The other process of this node, as far as there is one.
+#[derive(Default)]
+pub struct Beside {
+    link: RefCell<Option<mpsc::Sender<Message>>>,
+    /// Who waits until what was asked for holds at the other one.
+    waiting: RefCell<HashMap<u64, oneshot::Sender<bool>>>,
+    next: Cell<u64>,
+    /// What the other one has open.
+    other: Cell<Holds>,
+}
+
+impl Beside {
+    pub fn other(&self) -> Holds {
+        self.other.get()
+    }
+
+    /// Tells the other process, where there is one.
+    pub fn say(&self, message: Message) {
+        let kept = self.link.borrow().as_ref().is_none_or(|link| link.try_send(message).is_ok());
+        if !kept {
+            tracing::warn!("the other process is too far behind, it is given up");
+            self.unlink();
+        }
+    }
+
+    /// Has the other process do the same; who waits hears once it holds there, or there is none any more.
+    pub fn mirror(&self, message: impl FnOnce(u64) -> Message, done: oneshot::Sender<bool>) {
+        if self.link.borrow().is_none() {
+            let _ = done.send(true);
+            return;
+        }
+        let number = self.next.get() + 1;
+        self.next.set(number);
+        self.waiting.borrow_mut().insert(number, done);
+        self.say(message(number));
+    }
+
+    fn done(&self, number: u64) {
+        if let Some(done) = self.waiting.borrow_mut().remove(&number) {
+            let _ = done.send(true);
+        }
+    }
+
+    fn unlink(&self) {
+        self.link.replace(None);
+        self.other.set(Holds::default());
+        self.waiting.borrow_mut().drain().for_each(|(_, done)| _ = done.send(true));
+    }
+}
+
+/// A connection to the other process.
+pub struct Link {
+    read: BufReader<OwnedReadHalf>,
+    write: OwnedWriteHalf,
+}
+
+impl Link {
+    /// Guards against strangers: only processes of the same user are listened to.
+    fn new(stream: UnixStream) -> io::Result<Self> {
+        if stream.peer_cred()?.uid() != rustix::process::geteuid().as_raw() {
+            return Err(io::Error::other("it is another user's"));
+        }
+        let (read, write) = stream.into_split();
+        Ok(Link { read: BufReader::new(read), write })
+    }
+
+    async fn say(&mut self, message: &Message) -> io::Result<()> {
+        say(&mut self.write, message).await
+    }
+
+    async fn next(&mut self) -> Result<Message, String> {
+        next(&mut self.read).await
+    }
+}
+
+async fn say(write: &mut OwnedWriteHalf, message: &Message) -> io::Result<()> {
+    let line = form::write(message);
+    timeout(SAY_WAIT, write.write_all(&line)).await.map_err(|_| io::ErrorKind::TimedOut)?
+}
+
+async fn next(read: &mut BufReader<OwnedReadHalf>) -> Result<Message, String> {
+    let mut line = Vec::new();
+    let most = form::MOST_LINE as u64;
+    read.take(most).read_until(b'\n', &mut line).await.map_err(|e| e.to_string())?;
+    match line.last() {
+        Some(b'\n') => form::read(&line),
+        _ if line.len() as u64 == most => Err("a line is too long".into()),
+        _ => Err("it ended".into()),
+    }
+}
+
+/// Where processes of this node meet; none where the environment names no folder for it.
+pub fn meeting_place(name: &str) -> Option<PathBuf> {
+    let folder = std::env::var_os("TMPDIR").filter(|folder| !folder.is_empty());
+    if folder.is_none() {
+        tracing::warn!("TMPDIR is not set: nothing is handed over from one process to the next");
+    }
+    Some(Path::new(&folder?).join(format!("troutknot-{:016x}.sock", troutknot_hosting::token(name))))
+}
+
+/// Asks the process that runs, if one does, for what this one begins with. What cannot be taken over is one line
+/// in the log, and the node starts from its configuration.
+pub async fn ask(place: &Path, name: &str, bounds: Bounds) -> Option<(Inherited, Link)> {
+    let stream = match UnixStream::connect(place).await {
+        Ok(stream) => stream,
+        Err(e) if matches!(e.kind(), io::ErrorKind::NotFound | io::ErrorKind::ConnectionRefused) => {
+            tracing::info!("no process of this node runs yet");
+            return None;
+        }
+        Err(e) => {
+            tracing::warn!("nothing is handed over, the start is from the configuration: {e}");
+            return None;
+        }
+    };
+    let told = async {
+        let mut link = Link::new(stream).map_err(|e| e.to_string())?;
+        let hello = Message::Hello { form: form::FORM, name: name.to_string() };
+        link.say(&hello).await.map_err(|e| e.to_string())?;
+        let mut inherited = Inherited::default();
+        while !inherited.take(link.next().await?, name, bounds)? {}
+        Ok((inherited, link))
+    };
+    let told = timeout(ASK_WAIT, told).await.unwrap_or_else(|_| Err("it says nothing".to_string()));
+    let why = |why: &String| {
+        tracing::warn!("nothing is handed over, the start is from the configuration: {why}");
+    };
+    let (inherited, link) = told.inspect_err(why).ok()?;
+    tracing::info!(
+        "taken over: {} executors listed, {} of them out by hand, {} ids, drained {}",
+        inherited.entries.len(),
+        inherited.out.len(),
+        inherited.ids.len(),
+        inherited.drained
+    );
+    Some((inherited, link))
+}
+
+/// One process of a node, and what it needs to be one node with another.
+pub struct Handover {
+    pub name: String,
+    pub place: PathBuf,
+    pub beside: Rc<Beside>,
+    pub limits: Rc<Limits>,
+    pub events: mpsc::Sender<Event>,
+    pub stages: Rc<Stages>,
+    pub clients: Rc<Clients>,
+    pub executors: Rc<Executors>,
+    /// Where a next process asks, once the one before this one leaves.
+    pub bound: RefCell<Option<UnixListener>>,
+}
+
+impl Handover {
+    /// Goes on with the process before this one, if there is one, then waits for the one after it.
+    pub async fn run(self: Rc<Self>, older: Option<Link>) {
+        if let Some(link) = older {
+            spawn_local(self.clone().say_ready());
+            self.go_on(link, false).await;
+        }
+        let bound = self.bound.take();
+        let listener = match bound.map_or_else(|| self.bind(), Ok) {
+            Ok(listener) => listener,
+            Err(e) => return tracing::warn!("nothing can be handed over to a next process: {e}"),
+        };
+        let mut stage = self.stages.watch();
+        let (stages, place) = (self.stages.clone(), self.place.clone());
+        let ends = |_: &Stage| stages.life().way != Way::None;
+        loop {
+            let stream = tokio::select! {
+                biased;
+                _ = stage.wait_for(ends) => break,
+                accepted = listener.accept() => accepted,
+            };
+            match stream.and_then(|(stream, _)| Link::new(stream)) {
+                Ok(link) => self.clone().newer(link).await,
+                Err(e) => {
+                    tracing::warn!("no next process: {e}");
+                    sleep(HOLDS_EVERY).await;
+                }
+            }
+        }
+        let _ = std::fs::remove_file(place);
+    }
+
+    fn bind(&self) -> io::Result<UnixListener> {
+        // What lies there is of a process that is dead, or has just said that it leaves.
+        let _ = std::fs::remove_file(&self.place);
+        UnixListener::bind(&self.place)
+    }
+
+    /// The newer process says when it takes clients.
+    async fn say_ready(self: Rc<Self>) {
+        let mut stage = self.stages.watch();
+        if stage.wait_for(|stage| *stage != Stage::Starting).await.is_ok() {
+            self.beside.say(Message::Ready);
+        }
+    }
+
+    /// A newer process asks: it is told all, then what changes.
+    async fn newer(self: Rc<Self>, mut link: Link) {
+        let hello = timeout(SAY_WAIT, link.next()).await;
+        match hello {
+            Ok(Ok(Message::Hello { name, .. })) if name == self.name => {}
+            _ => return tracing::warn!("what asked to be told is no process of this node"),
+        }
+        tracing::info!("a next process has started, it is told what this one knows");
+        self.go_on(link, true).await;
+        self.stages.change(|life| life.yielded = false);
+        if self.stages.life().way == Way::None {
+            tracing::warn!("the next process has ended, this one goes on");
+        }
+    }
+
+    /// Tells and is told until the other process ends or is given up. The older one begins with all it knows.
+    async fn go_on(self: &Rc<Self>, link: Link, older: bool) {
+        let (say_it, to_say) = mpsc::channel(QUEUE);
+        self.beside.link.replace(Some(say_it));
+        let _ = self.events.send(Event::Beside(true)).await;
+        if older {
+            self.beside.say(Message::Hello { form: form::FORM, name: self.name.clone() });
+            let ids = self.clients.ids_lately();
+            form::in_lines(&ids, |ids| Message::Ids { ids }).into_iter().for_each(|m| self.beside.say(m));
+            // The rest is the driver's to tell, in order with what changes.
+            let _ = self.events.send(Event::HandOver).await;
+        }
+        let Link { mut read, write } = link;
+        let (said, heard, holds) =
+            (write_all(to_say, write), self.hear_all(&mut read, older), self.say_holds());
+        let leaving = async {
+            if older {
+                let mut stage = self.stages.watch();
+                let ends = |_: &Stage| self.stages.life().way != Way::None;
+                if stage.wait_for(ends).await.is_ok() {
+                    // The next process is the one that a further one asks.
+                    let _ = std::fs::remove_file(&self.place);
+                    self.beside.say(Message::Leaving);
+                }
+            }
+            std::future::pending::<()>().await
+        };
+        let why = tokio::select! {
+            why = said => why,
+            why = heard => why,
+            () = holds => "no more to say".into(),
+            () = leaving => "it leaves".into(),
+        };
+        tracing::debug!("the other process is gone: {why}");
+        self.beside.unlink();
+        let _ = self.events.send(Event::Beside(false)).await;
+    }
+
+    async fn say_holds(&self) {
+        let mut told = Holds::default();
+        loop {
+            let holds = Holds {
+                clients: self.clients.connections(),
+                executors: self.executors.connections(),
+                bytes: self.clients.held.held(),
+            };
+            if holds != told {
+                told = holds;
+                self.beside.say(Message::Holds(holds));
+            }
+            sleep(HOLDS_EVERY).await;
+        }
+    }
+
+    async fn hear_all(self: &Rc<Self>, read: &mut BufReader<OwnedReadHalf>, older: bool) -> String {
+        loop {
+            match next(read).await {
+                Err(why) => return why,
+                Ok(message) => {
+                    if self.hear(message, older).await.is_err() {
+                        return "the node ends".into();
+                    }
+                }
+            }
+        }
+    }
+
+    async fn hear(self: &Rc<Self>, message: Message, older: bool) -> Result<(), ()> {
+        match message {
+            Message::LeaveOut { executor, out, number } => {
+                let event = Event::LeaveOut { executor, out, asked: Asked::ByOther(number) };
+                self.events.send(event).await.map_err(|_| ())?;
+            }
+            Message::Drained { drained, number } => {
+                crate::management::drain(&self.stages, self.limits.drain_settle, drained, true);
+                self.beside.say(Message::Done { number });
+            }
+            Message::Done { number } => self.beside.done(number),
+            Message::Ids { ids } => self.clients.taken_elsewhere(&ids),
+            Message::Holds(holds) => {
+                self.beside.other.set(holds);
+                self.clients.held.set_elsewhere(holds.bytes);
+            }
+            Message::Ready if older => {
+                tracing::info!("the next process takes clients from now on");
+                self.stages.change(|life| life.yielded = true);
+            }
+            Message::Leaving if !older => {
+                tracing::info!("the process before this one was asked to end");
+                self.bound.replace(self.bind().ok());
+            }
+            _ => {}
+        }
+        Ok(())
+    }
+}
+
+async fn write_all(mut to_say: mpsc::Receiver<Message>, mut write: OwnedWriteHalf) -> String {
+    while let Some(message) = to_say.recv().await {
+        if let Err(e) = say(&mut write, &message).await {
+            return e.to_string();
+        }
+    }
+    "it was given up".into()
+}
--- a/crates/daemon/src/held.rs
+++ b/crates/daemon/src/held.rs
@@ -4,16 +4,26 @@
 
 pub struct HeldBytes {
     held: Cell<usize>,
+    /// Held by another process that shares the most.
+    elsewhere: Cell<usize>,
     most: usize,
 }
 
 impl HeldBytes {
     pub fn new(most: usize) -> Rc<Self> {
-        Rc::new(HeldBytes { held: Cell::new(0), most })
+        Rc::new(HeldBytes { held: Cell::new(0), elsewhere: Cell::new(0), most })
     }
 
     pub fn fits(&self, n: usize) -> bool {
-        self.held.get() + n <= self.most
+        self.held.get() + self.elsewhere.get() + n <= self.most
+    }
+
+    pub fn held(&self) -> usize {
+        self.held.get()
+    }
+
+    pub fn set_elsewhere(&self, held: usize) {
+        self.elsewhere.set(held);
     }
 
     pub fn take(&self, n: usize) -> bool {
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -8,6 +8,7 @@
 mod events;
 mod exchange;
 mod executors;
+mod handover;
 mod held;
 mod http1;
 mod limits;
@@ -27,11 +28,12 @@
 use durable::Durable;
 use events::Event;
 use executors::Executors;
+use handover::{Beside, Handover, form::Bounds};
 use limits::{Limits, Stated};
 use lists::{Told, merge::Merge};
 use management::Management;
 use operator::{OperatorFile, Source};
-use stage::{Stages, Way};
+use stage::{Drain, Stages, Way};
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -45,7 +47,7 @@
 use tracing_appender::non_blocking::NonBlockingBuilder;
 use troutknot::{Dispatcher, ListKind};
 use troutknot_hosting::Catalogue;
-use words::InForce;
+use words::{InForce, List};
 
 /// Writes the log's waiting lines when it is dropped; to be held until the process ends.
 pub struct LogGuard(#[allow(dead_code)] tracing_appender::non_blocking::WorkerGuard);
@@ -120,6 +122,7 @@
         sockets: told.limits.sockets,
         consul: file.lists.sources.contains(&Source::Consul),
         durable: file.durable.is_some(),
+        passed: passed.is_some(),
         ..stated(&values, &words)
     }));
     let words = InForce::new(words);
@@ -136,10 +139,24 @@
     let address = listener.local_addr().map_err(|e| format!("cannot listen at {}: {e}", told.listen))?;
 
     let clock = Clock::start();
+    let beside: Rc<Beside> = Rc::default();
+    let place = was_passed.then(|| handover::meeting_place(&told.name)).flatten();
+    let bounds = Bounds { known: limits.known, ids: 2 * limits.past_ids };
+    let older = match &place {
+        Some(place) => handover::ask(place, &told.name, bounds).await,
+        None => None,
+    };
+    let (mut inherited, older) = older.unzip();
+    if let Some(inherited) = &mut inherited {
+        // What the process before this one was told of the list is newer than what the configuration says.
+        let version = inherited.version.or(told.known.as_ref().map(|known| known.version));
+        let entries = std::mem::take(&mut inherited.entries);
+        told.known = Some(List { version: version.unwrap_or(0), full: true, entries });
+    }
     let (events, told_events) = mpsc::channel(limits.events);
     let stages = Rc::new(Stages::new());
     let follow = Rc::new(Notify::new());
-    let executors = Executors::new(limits.clone(), words.clone(), events.clone());
+    let executors = Executors::new(limits.clone(), words.clone(), events.clone(), beside.clone());
     let status: Rc<RefCell<String>> = Rc::default();
     let durable = match file.durable.clone() {
         Some(terms) => Some(Durable::start(terms, &limits, clock, &words, &events)?),
@@ -152,6 +169,7 @@
         stages.watch(),
         status.clone(),
         durable.clone(),
+        beside.clone(),
     );
     let dispatcher = Dispatcher::new(values, seed, clock.now());
     let mut driver = Driver::new(
@@ -166,8 +184,19 @@
     let version = told.known.as_ref().map(|known| known.version);
     let before = told.known.as_ref().map_or(Vec::new(), |known| known.entries.clone());
     if let Some(known) = told.known.take() {
+        if let Some(inherited) = &mut inherited {
+            driver.leave_out(std::mem::take(&mut inherited.out));
+        }
         driver.tell(clock.now(), Event::List(ListKind::Saved, known.entries, Some(known.version)));
     }
+    if let Some(mut inherited) = inherited {
+        clients.taken_elsewhere(&inherited.ids);
+        if inherited.drained {
+            stages.change(|life| (life.drain, life.inherited) = (Drain::Settled, true));
+        }
+        inherited.ids = Vec::new();
+        driver.take_over(clock.now(), inherited);
+    }
     let (discovery, followed) = watch::channel(told.discovery);
     let (consul, consul_wanted) = watch::channel(file.lists.consul.clone());
     let merge = Rc::new(RefCell::new(Merge::new(limits.known)));
@@ -206,7 +235,7 @@
         spawn_local(durable.clone().recover(stages.watch(), clients.held.clone()));
         spawn_local(durable.forget());
     }
-    spawn_local(executors.retire_idle());
+    spawn_local(executors.clone().retire_idle());
     spawn_local(clients.clone().accept(listener, was_passed));
     let driver = spawn_local(driver.run());
     tracing::info!(
@@ -220,7 +249,23 @@
     if let Some(listener) = management {
         let at = listener.local_addr().map_err(|e| format!("no address to be called at: {e}"))?;
         tracing::info!("operators call at {at}");
-        spawn_local(Management::new(limits.clone(), events.clone(), stages.clone()).accept(listener));
+        spawn_local(
+            Management::new(limits.clone(), events.clone(), stages.clone(), beside.clone()).accept(listener),
+        );
+    }
+    if let Some(place) = place {
+        let handover = Rc::new(Handover {
+            name: told.name.clone(),
+            place,
+            beside,
+            limits: limits.clone(),
+            events: events.clone(),
+            stages: stages.clone(),
+            clients: clients.clone(),
+            executors: executors.clone(),
+            bound: RefCell::default(),
+        });
+        spawn_local(handover.run(older));
     }
     let own = Own { path: own_path, file, consul };
     let retuned = Retuned { catalogue, limits: limits.clone(), words: words.clone(), events: events.clone() };
--- a/crates/daemon/src/limits.rs
+++ b/crates/daemon/src/limits.rs
@@ -15,6 +15,8 @@
     pub longest: Duration,
     /// Whether the list comes from Consul: its answers are large, and more is kept of each executor.
     pub consul: bool,
+    /// Whether the clients' socket is passed on: two processes share the limits at times.
+    pub passed: bool,
     /// Whether work units are taken durably: what is on record is kept in mind.
     pub durable: bool,
 }
@@ -150,7 +152,8 @@
     }
 
     pub fn of(stated: &Stated) -> Self {
-        let sockets = stated.sockets.clamp(64, 1 << 20) - SPARE;
+        let spare = if stated.passed { 2 * SPARE } else { SPARE };
+        let sockets = stated.sockets.clamp(64, 1 << 20) - spare;
         let memory = stated.memory_mb.clamp(16, 1 << 20) as usize * 1024 * 1024;
         let ring = 16 * 1024;
         let body = 64 * 1024;
@@ -168,7 +171,8 @@
             client_rings: of(12, 16),
             body,
             slow_bodies: memory / 16 / body,
-            held_bytes: if stated.durable { of(12, 18) } else { of(6, 12) },
+            // Beside another process of this node what each keeps in mind is there twice.
+            held_bytes: if stated.durable || stated.passed { of(12, 18) } else { of(6, 12) },
             durable: memory / 14 / DURABLE_BYTES,
             list_line: (memory / 32).min(8 * 1024 * 1024),
             list_answer: (memory / 9).min(12 * 1024 * 1024),
--- a/crates/daemon/src/management/mod.rs
+++ b/crates/daemon/src/management/mod.rs
@@ -2,7 +2,8 @@
 //! its own and carries one call, which is answered once what it asks for holds.
 mod calls;
 
-use crate::events::Event;
+use crate::events::{Asked, Event};
+use crate::handover::{Beside, form::Message};
 use crate::held::HeldBytes;
 use crate::http1::{self, Connection, Failed};
 use crate::limits::Limits;
@@ -11,6 +12,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
 use std::rc::Rc;
+use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Notify, mpsc, oneshot};
 use tokio::task::spawn_local;
@@ -20,13 +22,12 @@
     limits: Rc<Limits>,
     events: mpsc::Sender<Event>,
     stages: Rc<Stages>,
+    beside: Rc<Beside>,
     rings: Rc<HeldBytes>,
     /// Connections whose call is not whole, by their number, the longest first.
     waiting: RefCell<VecDeque<(u64, Rc<Notify>)>>,
     open: Cell<usize>,
     next: Cell<u64>,
-    /// Counts the calls to drain and back.
-    drains: Rc<Cell<u64>>,
 }
 
 type Answered = (u16, &'static str);
@@ -34,16 +35,21 @@
 const DONE: Answered = (200, "done");
 
 impl Management {
-    pub fn new(limits: Rc<Limits>, events: mpsc::Sender<Event>, stages: Rc<Stages>) -> Rc<Self> {
+    pub fn new(
+        limits: Rc<Limits>,
+        events: mpsc::Sender<Event>,
+        stages: Rc<Stages>,
+        beside: Rc<Beside>,
+    ) -> Rc<Self> {
         Rc::new(Management {
             rings: HeldBytes::new(limits.callers * 2 * limits.call_ring),
             limits,
             events,
             stages,
+            beside,
             waiting: RefCell::default(),
             open: Cell::new(0),
             next: Cell::new(0),
-            drains: Rc::default(),
         })
     }
 
@@ -130,12 +136,18 @@
             Call::IsReady if self.stages.life().is_ready() => (200, "ready"),
             Call::IsReady => (503, "not ready"),
             Call::Out { executor, out } => self.leave_out(executor, *out).await,
-            Call::Drain(drain) => {
+            Call::Drain(to_drain) => {
                 if self.stages.life().way != Way::None {
                     return (503, "the node ends");
                 }
-                self.drain(*drain);
-                DONE
+                drain(&self.stages, self.limits.drain_settle, *to_drain, false);
+                let (done, holds) = oneshot::channel();
+                let drained = |number| Message::Drained { drained: *to_drain, number };
+                self.beside.mirror(drained, done);
+                match timeout(self.limits.call_wait, holds).await {
+                    Ok(Ok(_)) => DONE,
+                    _ => (503, "the other process of this node does not answer"),
+                }
             }
         }
     }
@@ -146,7 +158,7 @@
         let mut stage = self.stages.watch();
         let _ = timeout_at(until, stage.wait_for(|stage| *stage != Stage::Starting)).await;
         let (done, holds) = oneshot::channel();
-        let event = Event::LeaveOut { executor: executor.to_string(), out, done: Some(done) };
+        let event = Event::LeaveOut { executor: executor.to_string(), out, asked: Asked::ByHand(done) };
         let told = async {
             self.events.send(event).await.ok()?;
             holds.await.ok()
@@ -157,25 +169,27 @@
             _ => (503, "the node is too busy"),
         }
     }
+}
 
-    /// Empties the node, or ends that; again the same changes nothing.
-    fn drain(&self, drain: bool) {
-        let before = self.stages.life().drain;
-        if drain == (before != Drain::None) {
-            return;
-        }
-        let (number, drains, stages) = (self.drains.get() + 1, self.drains.clone(), self.stages.clone());
-        drains.set(number);
+/// Empties the node, or ends that; again the same changes nothing. `inherited` says that another process of the
+/// node was told so.
+pub fn drain(stages: &Rc<Stages>, settle: Duration, drain: bool, inherited: bool) {
+    let before = stages.life();
+    if drain == (before.drain != Drain::None) {
+        return;
+    }
+    let number = before.drains + 1;
+    stages.change(|life| {
+        (life.drain, life.drains) = (if drain { Drain::Begun } else { Drain::None }, number);
+        life.inherited = drain && inherited;
+    });
+    let stages = stages.clone();
+    spawn_local(async move {
+        sleep(settle).await;
         stages.change(|life| {
-            life.drain = if drain { Drain::Begun } else { Drain::None };
-            life.inherited = false;
-        });
-        let settle = self.limits.drain_settle;
-        spawn_local(async move {
-            sleep(settle).await;
-            if drain && drains.get() == number {
-                stages.change(|life| life.drain = Drain::Settled);
+            if drain && life.drains == number {
+                life.drain = Drain::Settled;
             }
         });
-    }
+    });
 }
--- a/crates/daemon/src/roster.rs
+++ b/crates/daemon/src/roster.rs
@@ -45,6 +45,20 @@
         let entry = self.listed.get(executor.0 as usize)?.clone();
         entry.filter(|_| changes)
     }
+
+    /// Takes over who is out, before any list.
+    pub fn inherit(&mut self, out: BTreeSet<String>) {
+        self.out.extend(out);
+    }
+
+    pub fn out(&self) -> &BTreeSet<String> {
+        &self.out
+    }
+
+    /// What the list says, without who is gone.
+    pub fn listed(&self) -> impl Iterator<Item = &Entry> {
+        self.listed.iter().flatten().filter(|entry| entry.state != "Gone")
+    }
 }
 
 #[test]
@@ -62,10 +76,10 @@
     roster.gone(a);
     let back = roster.leave_out(a, "a", false).expect("one call back undoes both");
     assert_eq!(back.state, "Gone", "what the list says by then");
-    assert!(roster.leave_out(a, "a", false).is_none() && roster.out.is_empty());
+    assert!(roster.leave_out(a, "a", false).is_none() && roster.out().is_empty());
     assert_eq!(said(&mut roster, READY), READY);
     // One that the list has not named yet, taken over from the process before.
     let mut next = Roster::default();
-    next.out.insert("a".into());
+    next.inherit(["a".to_string()].into());
     assert_eq!(said(&mut next, READY), DRAINS);
 }
--- a/crates/daemon/src/stage.rs
+++ b/crates/daemon/src/stage.rs
@@ -13,8 +13,8 @@
     Drained,
     /// Asked to end: all goes on, but no front should take it in.
     Leaving,
-    /// Asked to end, and the clients' socket stays open for the next process: nothing more is accepted, and
-    /// each connection ends with its answer.
+    /// Another process has the clients' socket and takes them: nothing more is accepted, and each connection
+    /// ends with its answer. It is asked to end, or may serve again if that other process dies.
     Passing,
     /// Idle connections close, and each other one after its answer.
     Closing,
@@ -59,8 +59,12 @@
     /// There is a list to serve by.
     pub listed: bool,
     pub drain: Drain,
+    /// Counts drains by hand and their ends.
+    pub drains: u64,
     /// The drain was taken over from the process before this one.
     pub inherited: bool,
+    /// Another process takes clients, as long as it runs.
+    pub yielded: bool,
     pub way: Way,
 }
 
@@ -72,6 +76,7 @@
             (Way::Out, Drain::Begun, _) | (Way::None, Drain::Begun, true) => Stage::Draining,
             (Way::Out, ..) => Stage::Leaving,
             (Way::None, _, false) => Stage::Starting,
+            (Way::None, Drain::None, true) if self.yielded => Stage::Passing,
             (Way::None, Drain::Settled, true) => Stage::Drained,
             (Way::None, Drain::None, true) => Stage::Serving,
         }
@@ -127,9 +132,12 @@
         (true, Drain::Settled, Way::Passed, Closing, false),
         (false, Drain::None, Way::Closing, Closing, false),
     ] {
-        let life = Life { listed, drain, way, inherited: false };
+        let life = Life { listed, drain, way, ..Life::default() };
         assert_eq!((life.stage(), life.is_ready()), (stage, ready), "{life:?}");
     }
-    let inherited = Life { listed: true, drain: Drain::Settled, inherited: true, way: Way::None };
+    let inherited = Life { listed: true, drain: Drain::Settled, inherited: true, ..Life::default() };
     assert!(inherited.is_ready() && inherited.stage() == Drained);
+    let yielded = Life { listed: true, yielded: true, ..Life::default() };
+    assert!(yielded.is_ready() && yielded.stage() == Passing);
+    assert_eq!(Life { drain: Drain::Begun, ..yielded }.stage(), Draining);
 }
--- a/crates/daemon/src/words.rs
+++ b/crates/daemon/src/words.rs
@@ -2,7 +2,7 @@
 use crate::exchange::{Answer, Work};
 use crate::http1::{self, AnswerHead, RequestHead};
 use bytes::{Bytes, BytesMut};
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
 use serde_json::value::RawValue;
 use serde_json::{Map, Value};
 use std::cell::RefCell;
@@ -226,6 +226,11 @@
         (name(&self.project_types, work.project_type.0), name(&self.customers, work.customer.0))
     }
 
+    /// The project types that are taken, by name.
+    pub fn taken_types(&self) -> impl Iterator<Item = (&str, ProjectTypeId)> {
+        self.taken_types.iter().map(|(name, &number)| (name.as_str(), ProjectTypeId(number)))
+    }
+
     /// What such names stand for now; none where the project type is not known.
     pub fn places_of(&self, project_type: &str, customer: &str) -> Option<(ProjectTypeId, CustomerId)> {
         let project_type = *self.taken_types.get(project_type)?;
@@ -415,7 +420,7 @@
     pub entries: Vec<Entry>,
 }
 
-#[derive(Deserialize, Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize, Clone, Debug, PartialEq)]
 pub struct Entry {
     pub id: String,
     /// Missing, perhaps, where the executor is gone.
--- a/crates/daemon/tests/common/mod.rs
+++ b/crates/daemon/tests/common/mod.rs
@@ -4,6 +4,7 @@
 use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::process::{Child, Command, Stdio};
+use std::sync::Mutex;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::mpsc::{self, Receiver};
 use std::thread;
@@ -103,6 +104,8 @@
     pub process: Child,
     pub addr: SocketAddr,
     pub log: Receiver<String>,
+    /// What it logged that was passed over.
+    pub before: Mutex<Vec<String>>,
     pub config: Value,
     pub path: String,
 }
@@ -141,7 +144,8 @@
         let (send, log) = mpsc::sync_channel(64);
         let lines = BufReader::new(process.stdout.take().unwrap()).lines();
         thread::spawn(move || lines.map_while(Result::ok).try_for_each(|line| send.send(line)));
-        let mut node = Node { process, addr: ([127, 0, 0, 1], 0).into(), log, config, path };
+        let (addr, before) = (([127, 0, 0, 1], 0).into(), Mutex::default());
+        let mut node = Node { process, addr, log, before, config, path };
         let line = node.logged(" listens at ");
         node.addr = line.split(" listens at ").nth(1).unwrap().split(": ").next().unwrap().parse().unwrap();
         node
@@ -154,6 +158,7 @@
             if line.contains(part) {
                 return line;
             }
+            self.before.lock().unwrap().push(line);
         }
     }
 
--- a/crates/daemon/tests/operation.rs
+++ b/crates/daemon/tests/operation.rs
@@ -5,8 +5,11 @@
 use common::*;
 use serde_json::{Value, json};
 use std::collections::BTreeSet;
-use std::io::{BufReader, Read, Write};
+use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::unix::net::{UnixListener, UnixStream};
+use std::path::PathBuf;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 use troutknot_emulator::scripted::{Act, Discovery, Executor};
 
@@ -224,42 +227,185 @@
     assert_eq!((post("publish", &loses), post("render", &loses), post("thumb", &[])), (502, 200, 404));
 }
 
-/// Starts a process with this socket as descriptor 5.
-fn start_on(socket: &TcpListener, discovery: &Discovery) -> Operated {
-    let fd = socket.try_clone().unwrap().into();
-    Operated::start(discovery, |program| {
-        program.env("ROUTER_PASSED_SOCKET", "5");
-        program.fd_mappings(vec![FdMapping { parent_fd: fd, child_fd: 5 }]).unwrap();
-    })
+/// A clients' socket and a folder that processes of one node share.
+struct Platform {
+    socket: TcpListener,
+    folder: PathBuf,
+}
+
+impl Platform {
+    fn new() -> Self {
+        static NUMBER: AtomicU32 = AtomicU32::new(0);
+        let number = NUMBER.fetch_add(1, Ordering::Relaxed);
+        let folder = std::env::temp_dir().join(format!("troutknot-{}-{number}", std::process::id()));
+        std::fs::create_dir_all(&folder).unwrap();
+        Platform { socket: TcpListener::bind("127.0.0.1:0").unwrap(), folder }
+    }
+
+    /// Starts one more process.
+    fn start(&self, discovery: &Discovery) -> Operated {
+        let fd = self.socket.try_clone().unwrap().into();
+        Operated::start(discovery, |program| {
+            program.env("ROUTER_PASSED_SOCKET", "5").env("TMPDIR", &self.folder);
+            program.fd_mappings(vec![FdMapping { parent_fd: fd, child_fd: 5 }]).unwrap();
+        })
+    }
+
+    fn connect(&self) -> BufReader<TcpStream> {
+        let stream = TcpStream::connect(self.socket.local_addr().unwrap()).unwrap();
+        stream.set_read_timeout(Some(PATIENCE)).unwrap();
+        BufReader::new(stream)
+    }
+
+    fn post(&self, id: &str) -> u16 {
+        ask(&mut self.connect(), work("render", id, 3.0, "")).0
+    }
+
+    /// The file under which processes meet.
+    fn meeting_place(&self) -> Option<PathBuf> {
+        std::fs::read_dir(&self.folder).unwrap().map(|entry| entry.unwrap().path()).next()
+    }
+}
+
+impl Drop for Platform {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+/// Which executors get work over connections of their own.
+fn used_by(platform: &Platform, executors: &[Executor; 2]) -> BTreeSet<usize> {
+    (0..30).for_each(|_| assert_eq!(platform.post(&new_id()), 200));
+    let seen = |k: &usize| !std::mem::take(&mut *executors[*k].seen.lock().unwrap()).is_empty();
+    (0..2).filter(seen).collect()
 }
 
 #[test]
 fn clients_see_no_gap_while_one_process_follows_another() {
     let (executors, discovery) = two_executors();
-    let socket = TcpListener::bind("127.0.0.1:0").unwrap();
-    let at = socket.local_addr().unwrap();
-    let old = start_on(&socket, &discovery);
-    assert_eq!(old.node.addr, at);
-    let connect = || BufReader::new(TcpStream::connect(at).unwrap());
-    let mut kept = connect();
+    let platform = Platform::new();
+    let old = platform.start(&discovery);
+    assert_eq!(old.node.addr, platform.socket.local_addr().unwrap());
+    let mut kept = platform.connect();
     assert_eq!(ask(&mut kept, work("render", &new_id(), 3.0, "")).0, 200);
     // Out there when the old process is asked to end.
     executors.iter().for_each(|e| e.acts.lock().unwrap().push_back(Act::Silent));
-    let mut under_way = connect();
+    let mut under_way = platform.connect();
     under_way.get_mut().write_all(work("render", &new_id(), 0.6, "").as_bytes()).unwrap();
     let taken = || executors.iter().any(|e| e.acts.lock().unwrap().is_empty());
     until("it is out there", taken);
     executors.iter().for_each(|e| e.acts.lock().unwrap().clear());
-    let new = start_on(&socket, &discovery);
+    let new = platform.start(&discovery);
     old.node.terminate();
     old.node.logged("asked to end");
     let (status, (head, _)) = ask(&mut kept, work("render", &new_id(), 3.0, ""));
     assert_eq!((status, field(&head, "connection")), (200, Some("close")), "the old one's connection");
-    for _ in 0..50 {
-        assert_eq!(ask(&mut connect(), work("render", &new_id(), 3.0, "")).0, 200);
-    }
+    used_by(&platform, &executors);
     assert_eq!(answer(&mut under_way).0, 503, "what was under way has its answer");
     drop(under_way);
     assert!(old.node.logged("ended with").contains("ended with 0"));
     assert_eq!(new.health(), 200);
 }
+
+#[test]
+fn what_holds_at_one_process_holds_at_the_next_and_at_both_meanwhile() {
+    let (executors, discovery) = two_executors();
+    let platform = Platform::new();
+    let first = platform.start(&discovery);
+    assert_eq!(first.call("PUT", "/v1/executors/s-1/suspend"), 200);
+    let id = new_id();
+    assert_eq!(platform.post(&id), 200);
+    let second = platform.start(&discovery);
+    first.node.logged("the next process takes clients");
+    assert_eq!(platform.post(&id), 409, "taken by the process before");
+    assert_eq!(used_by(&platform, &executors), [1].into(), "out over the upgrade");
+    // Calls to either while both run.
+    assert_eq!(first.call("PUT", "/v1/executors/s-2/suspend"), 200);
+    assert_eq!(platform.post(&new_id()), 503, "all are out");
+    assert_eq!(second.call("PUT", "/v1/executors/s-2/resume"), 200);
+    assert_eq!(second.call("PUT", "/v1/executors/s-1/resume"), 200);
+    assert_eq!(first.call("PUT", "/v1/executors/s-1/suspend"), 200);
+    assert_eq!(used_by(&platform, &executors), [1].into());
+    assert_eq!(first.call("PUT", "/v1/node/drain"), 200);
+    assert_eq!(second.health(), 503);
+    assert_eq!(first.call("PUT", "/v1/node/activate"), 200);
+    assert_eq!(second.health(), 200);
+    first.node.terminate();
+    assert!(first.node.logged("ended with").contains("ended with 0"));
+    // The next upgrade at once, while the node is drained.
+    assert_eq!(second.call("PUT", "/v1/node/drain"), 200);
+    let third = platform.start(&discovery);
+    second.node.terminate();
+    assert!(second.node.logged("ended with").contains("ended with 0"));
+    assert_eq!(third.health(), 503, "still drained");
+    assert_eq!(third.call("PUT", "/v1/node/activate"), 200);
+    assert_eq!(used_by(&platform, &executors), [1].into(), "still out");
+    assert_eq!(third.call("PUT", "/v1/executors/s-1/resume"), 200);
+    assert_eq!(used_by(&platform, &executors), [0, 1].into());
+}
+
+#[test]
+fn a_process_that_dies_leaves_the_other_one_serving() {
+    let (executors, discovery) = two_executors();
+    let platform = Platform::new();
+    let mut first = platform.start(&discovery);
+    // The newer one dies, and the older serves on.
+    let mut dies = platform.start(&discovery);
+    first.node.logged("the next process takes clients");
+    dies.node.process.kill().unwrap();
+    first.node.logged("the next process has ended, this one goes on");
+    used_by(&platform, &executors);
+    assert_eq!(first.call("PUT", "/v1/executors/s-1/suspend"), 200, "nobody else is waited for");
+    // The older one dies, and the newer has all it was told; then so has the next one.
+    let second = platform.start(&discovery);
+    first.node.process.kill().unwrap();
+    first.node.process.wait().unwrap();
+    assert_eq!(used_by(&platform, &executors), [1].into());
+    until("it waits for a next", || {
+        platform.meeting_place().is_some_and(|at| UnixStream::connect(at).is_ok())
+    });
+    let third = platform.start(&discovery);
+    second.node.terminate();
+    assert!(second.node.logged("ended with").contains("ended with 0"));
+    assert_eq!(used_by(&platform, &executors), [1].into());
+    assert_eq!(third.health(), 200);
+}
+
+#[test]
+fn what_cannot_be_taken_over_is_one_line_and_the_node_starts() {
+    let (executors, discovery) = two_executors();
+    let platform = Platform::new();
+    drop(platform.start(&discovery));
+    let place = platform.meeting_place().expect("it is left behind by a process that was killed");
+    used_by_a_start(&platform, &discovery, &executors, "no process of this node runs yet");
+    for (said, logged) in [
+        ("", "from the configuration: it ended"),
+        ("what\n", "from the configuration: no message"),
+        ("{\"say\":\"hello\",\"form\":99,\"name\":\"n0\"}\n", "it speaks form 99"),
+        ("{\"say\":\"hello\",\"form\":1,\"name\":\"n0\"}\n{\"say\":\"out\",\"execut", "it ended"),
+    ] {
+        let _ = std::fs::remove_file(&place);
+        let odd = UnixListener::bind(&place).unwrap();
+        let says = std::thread::spawn(move || {
+            let (mut stream, _) = odd.accept().unwrap();
+            // Its question is read, so that the answer is not lost under it.
+            BufReader::new(stream.try_clone().unwrap()).read_line(&mut String::new()).unwrap();
+            stream.write_all(said.as_bytes()).unwrap();
+        });
+        used_by_a_start(&platform, &discovery, &executors, logged);
+        says.join().unwrap();
+    }
+}
+
+fn used_by_a_start(platform: &Platform, discovery: &Discovery, executors: &[Executor; 2], logged: &str) {
+    let fd = platform.socket.try_clone().unwrap().into();
+    let node = Node::start_from(config(discovery, settings()), |path| {
+        launch_with(path, "info", "", |program| {
+            program.env("ROUTER_PASSED_SOCKET", "5").env("TMPDIR", &platform.folder);
+            program.fd_mappings(vec![FdMapping { parent_fd: fd, child_fd: 5 }]).unwrap();
+        })
+    });
+    let before = node.before.lock().unwrap().join("\n");
+    assert!(before.contains(logged), "{before}");
+    assert_eq!(used_by(platform, executors), [0, 1].into());
+}
--- a/crates/simulation/src/baselines.rs
+++ b/crates/simulation/src/baselines.rs
@@ -352,6 +352,8 @@
             }
             Event::ListLost => self.actions.push(Action::FollowList),
             Event::Recovered { .. } | Event::Started { .. } | Event::Progress { .. } => {}
+            // A baseline runs in one process and forgets with it.
+            Event::Beside { .. } | Event::Learned(_) => {}
         }
     }
 
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -217,6 +217,7 @@
     wake_set: Millis,
     monitoring: Monitoring,
     following: Following,
+    beside_until: Millis,
     log: Vec<String>,
 }
 
@@ -367,6 +368,7 @@
             wake_set: f64::INFINITY,
             monitoring: Monitoring { draws: 2, at: now, ..Monitoring::default() },
             following: Following { ask_at, stood: false, failures: 0, ask_every: 0.0 },
+            beside_until: 0.0,
             log: Vec::new(),
         };
         this.retune(now, &values);
@@ -458,6 +460,9 @@
             }
             Event::Ended { wu, alloc, outcome, closed } => self.on_ended(now, wu, alloc, outcome, closed),
             Event::Recovered { wu, executor, sent } => self.on_recovered(now, wu, executor, sent),
+            Event::Beside { runs: true } => self.beside_until = f64::INFINITY,
+            Event::Beside { runs: false } => self.beside_until = now + self.cold.fall,
+            Event::Learned(learned) => self.on_learned(learned),
             Event::Started { .. } | Event::Progress { .. } => {}
             Event::TimerFired => self.wake_set = f64::INFINITY,
             Event::Withdrawn { wu } => self.forget(wu),
@@ -479,6 +484,37 @@
         }
     }
 
+    /// What a process of this node after this one goes on from.
+    pub fn learned(&self, now: Millis) -> Learned {
+        let (f, m) = (&self.fleet, &self.monitoring);
+        let spent = |e: usize| f.cold_spent[e].iter().copied().filter(|&(at, _)| at >= now - self.cold.fall);
+        let of = |x: &Listing| {
+            let e = x.executor.0 as usize;
+            let (failed, judged, slots) = (f.failed[e], f.judged[e], f.slots[e]);
+            LearnedExecutor { executor: x.executor, failed, judged, slots, cold_spent: spent(e).collect() }
+        };
+        let (mean_run, waiting_share, lag, draws) = (f.mean_run, m.waiting_share, m.lag, m.draws);
+        let executors = f.listed.iter().filter(|l| l.phase != Phase::Gone).map(of).collect();
+        let runs = self.types.iter().map(|kind| (kind.run, kind.runs_seen)).collect();
+        Learned { executors, runs, mean_run, waiting_share, lag, draws }
+    }
+
+    fn on_learned(&mut self, learned: Learned) {
+        let (f, m) = (&mut self.fleet, &mut self.monitoring);
+        for l in learned.executors {
+            let e = l.executor.0 as usize;
+            if e < f.listed.len() {
+                (f.failed[e], f.judged[e], f.slots[e], f.cold_spent[e]) =
+                    (l.failed, l.judged, l.slots, l.cold_spent);
+            }
+        }
+        for (kind, (run, seen)) in self.types.iter_mut().zip(learned.runs).filter(|(_, run)| run.1 > 0.0) {
+            (kind.run, kind.runs_seen) = (run, seen);
+        }
+        (f.mean_run, m.waiting_share, m.lag) = (learned.mean_run, learned.waiting_share, learned.lag);
+        m.draws = learned.draws.clamp(2, MOST_DRAWS);
+    }
+
     /// Whether this work unit is beyond its customer's share; a client that asks again is not counted twice.
     fn over_share(&mut self, now: Millis, customer: CustomerId, again: bool) -> bool {
         let Some(share) = self.shares.get_mut(customer.0 as usize) else { return false };
@@ -681,7 +717,9 @@
         }
         let whole = self.cold.multiple * warm_then * self.fleet.slots_of(e) * fall;
         let spent = self.fleet.cold_spent[e].iter().filter(|&&(at, _)| at >= now - fall);
-        COLD_HEADROOM * whole * self.cold_part(e) - spent.map(|&(_, work)| work).sum::<f64>()
+        // Two processes of this node push at once, or did of late: each to half of its part.
+        let half = if now < self.beside_until { 0.5 } else { 1.0 };
+        COLD_HEADROOM * whole * half * self.cold_part(e) - spent.map(|&(_, work)| work).sum::<f64>()
     }
 
     fn cost(&self, w: &Wu) -> f64 {
--- a/src/terms.rs
+++ b/src/terms.rs
@@ -184,6 +184,28 @@
     }
 }
 
+/// What one process of a node knows that one after it goes on from.
+#[derive(Clone, PartialEq, Default, Debug)]
+pub struct Learned {
+    pub executors: Vec<LearnedExecutor>,
+    /// Running times by project type, and how many were seen; none seen says nothing.
+    pub runs: Vec<(Millis, f64)>,
+    pub mean_run: Millis,
+    pub waiting_share: Option<f64>,
+    pub lag: Option<Millis>,
+    pub draws: u32,
+}
+
+/// What is known of an executor beside its listing: faults, outcomes, slots, and its cold budget that is out.
+#[derive(Clone, PartialEq, Debug)]
+pub struct LearnedExecutor {
+    pub executor: ExecutorId,
+    pub failed: (f64, Millis),
+    pub judged: (f64, Millis),
+    pub slots: f64,
+    pub cold_spent: Vec<(Millis, f64)>,
+}
+
 #[derive(Clone, PartialEq, Debug)]
 pub enum Event {
     ListTold {
@@ -220,6 +242,12 @@
         executor: ExecutorId,
         sent: Millis,
     },
+    /// Whether another process of this node runs, which pushes as well.
+    Beside {
+        runs: bool,
+    },
+    /// What a process of this node before this one knew; after the list.
+    Learned(Learned),
     /// An allocation has started to run, or to answer.
     Started {
         wu: WuId,
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -654,3 +654,117 @@
         );
     }
 }
+
+/// A burst that one process of a node begins and the next one goes on with, while both push for a time, stays
+/// within the budget of one node; nothing of it is known of an executor that started anew.
+#[test]
+fn two_processes_of_a_node_keep_to_one_cold_budget() {
+    let cold = |started| [listing(7, 0, Phase::Healthy, Some(started))];
+    // One more work unit, over at once, so that neither slots nor what is held stand in its way.
+    let pushes = |node: &mut Node| {
+        node.now += 11.0;
+        let (wu, actions) = node.arrive(0);
+        let free_slots = Some(4.0 + node.now / 1e9);
+        let mut pushed = push_of(&actions).is_some();
+        if actions.iter().any(|a| matches!(a, Action::Probe { .. })) {
+            let reading = Reading { queue: Some(0.0), free_slots, ..Reading::default() };
+            let probed = Event::Probed { executor: ExecutorId(7), answered: true, lag: 1.0, reading };
+            pushed |= push_of(&node.tell(probed)).is_some();
+        }
+        node.tell(Event::Withdrawn { wu });
+        pushed as u32
+    };
+    for (told, beside) in [(true, true), (true, false), (false, true), (false, false)] {
+        let (mut old, mut new) = (node(1.0), node(1.0));
+        (old.now, new.now) = (50_000.0, 50_000.0);
+        old.list(ListKind::Whole, &cold(50_000.0));
+        let mut sent = (0..10).map(|_| pushes(&mut old)).sum::<u32>();
+        let learned = old.node.learned(old.now);
+        new.now = old.now;
+        new.list(ListKind::Saved, &cold(50_000.0));
+        if told {
+            new.tell(Event::Learned(learned));
+        }
+        if beside {
+            for node in [&mut old, &mut new] {
+                node.tell(Event::Beside { runs: true });
+            }
+        }
+        sent += (0..75).map(|_| pushes(&mut old) + pushes(&mut new)).sum::<u32>();
+        // 4 slots at a quarter for 1000 ms, four times over; a work unit takes 100 ms until more is known.
+        let whole = 4.0 * 0.25 * 4.0 * 1000.0 / 100.0;
+        assert_eq!(sent as f64 <= whole, beside, "{sent} of {whole} with {told} {beside}");
+        assert!(!(told && beside) || sent as f64 > whole / 2.0, "{sent}: what is there is used");
+        // The other one left: half for as long as what it pushed counts.
+        new.tell(Event::Beside { runs: false });
+        new.list(ListKind::Changes, &cold(new.now));
+        let half = (0..75).map(|_| pushes(&mut new)).sum::<u32>();
+        assert!(half >= 5 && half as f64 <= whole / 2.0, "started anew: {half} of {whole}");
+    }
+}
+
+#[test]
+fn a_next_process_goes_on_with_trust_and_running_times() {
+    let mut old = node(1.0);
+    old.warm(2);
+    for _ in 0..40 {
+        let (wu, executor) = old.pushed(0);
+        old.now += 20.0;
+        let actions = old.end(wu, 0, if executor.0 == 0 { Outcome::Error } else { Outcome::Completed });
+        old.answer(actions, |_| 0.0);
+        old.tell(Event::Withdrawn { wu });
+    }
+    let learned = old.node.learned(old.now);
+    assert!(learned.runs[0].0 < 60.0 && learned.runs[0].1 > 5.0, "{:?}", learned.runs);
+    let share_of_bad = |told: Option<Learned>, started: Option<Millis>| {
+        let mut new = node(1.0);
+        new.now = old.now;
+        new.warm(2);
+        told.into_iter().for_each(|learned| _ = new.tell(Event::Learned(learned)));
+        new.list(ListKind::Changes, &[listing(0, 0, Phase::Healthy, started)]);
+        let mut to_bad = 0;
+        for _ in 0..50 {
+            let (wu, executor) = new.pushed(0);
+            to_bad += (executor.0 == 0) as u32;
+            new.end(wu, 0, Outcome::Completed);
+        }
+        to_bad
+    };
+    let (anew, told) = (share_of_bad(None, None), share_of_bad(Some(learned.clone()), None));
+    let restarted = share_of_bad(Some(learned.clone()), Some(old.now - 60_000.0));
+    assert!(
+        told < anew / 2 && restarted > anew / 2,
+        "{told} told, {anew} anew, {restarted} after its restart"
+    );
+    // One of a later or earlier list, or of executors that this one does not list, is skipped.
+    let mut other = node(1.0);
+    other.warm(1);
+    other.tell(Event::Learned(Learned { draws: 99, ..learned }));
+    assert_eq!(other.pushed(0).1, ExecutorId(0));
+}
+
+#[test]
+fn new_settings_hold_for_new_work_alone() {
+    let mut node = node(1.0);
+    node.warm(6);
+    let ((rerun, _), (never, _)) = (node.pushed(0), node.pushed(3));
+    let mut values = values_of(1.0, None);
+    // Type 4 is type 0 with a stricter effect and one attempt; all else stays under its number.
+    for (name, given) in [("hard_limit", 900.0), ("promised_turnaround", 90.0), ("most_allocations", 1.0)] {
+        values.insert(format!("project_types.4.{name}"), Given::Number(given));
+    }
+    values.insert("project_types.4.effect", Given::Text("exclusive".into()));
+    values.insert("limits.most_allocations", Given::Number(1.0));
+    node.node.retune(node.now, &values);
+    let lost = |node: &mut Node, wu: WuId| {
+        let actions = node.end(wu, 0, Outcome::Reset);
+        said(&node.answer(actions, |_| 0.0))
+    };
+    assert_eq!((lost(&mut node, rerun), lost(&mut node, never)), ('p', 'a'), "terms of their arrival");
+    let (strict, _) = node.pushed(4);
+    assert_eq!(lost(&mut node, strict), 'a');
+    let (strict, _) = node.pushed(4);
+    assert_eq!(said(&node.end(strict, 0, Outcome::Full)), 'd', "one attempt");
+    let (rerun, _) = node.pushed(0);
+    assert_eq!(lost(&mut node, rerun), 'p', "a number keeps its terms");
+}
