Work of a client that left is broken off, and a ledger is held by one process over an upgrade

What was out for a client that left ran on to its end: Executors::run waited for its answer whether or not anybody wanted it. Where the project type may run again and the settings allow a cancel, it is broken off; exclusive and receipted work goes on.

A process that followed another ended at its start where a ledger is configured, as the first one holds it: now it serves, defers durable work until it has the ledger, and numbers its work units beyond the ledger's.

--- a/crates/daemon/src/clients/mod.rs
+++ b/crates/daemon/src/clients/mod.rs
@@ -6,6 +6,7 @@
 use crate::held::HeldBytes;
 use crate::http1::{self, Connection, Failed};
 use crate::limits::Limits;
+use crate::operator::Durably;
 use crate::stage::Stage;
 use crate::words::{self, InForce, READY_PATH, TELL_PATH, Vocabulary};
 use bytes::BytesMut;
@@ -26,7 +27,9 @@
     pub stage: watch::Receiver<Stage>,
     /// What is said beside the health, where the operator's file asks for more than the platform has.
     status: Rc<RefCell<String>>,
-    durable: Option<Rc<Durable>>,
+    /// On which terms work units are taken durably, and the ledger, which a process before this one may still hold.
+    durably: Option<Durably>,
+    durable: RefCell<Option<Rc<Durable>>>,
     /// Another process of this node, if one runs.
     beside: Rc<Beside>,
     pub held: Rc<HeldBytes>,
@@ -104,12 +107,12 @@
         events: mpsc::Sender<Event>,
         stage: watch::Receiver<Stage>,
         status: Rc<RefCell<String>>,
-        durable: Option<Rc<Durable>>,
+        durably: Option<Durably>,
         beside: Rc<Beside>,
     ) -> Rc<Self> {
-        let next_wu = durable.as_ref().map_or(0, |durable| durable.next_wu());
         Rc::new(Clients {
-            durable,
+            durably,
+            durable: RefCell::default(),
             beside,
             words,
             events,
@@ -124,7 +127,7 @@
                 older: HashSet::new(),
                 turned: Instant::now(),
             }),
-            next_wu: Cell::new(next_wu),
+            next_wu: Cell::new(0),
             next_connection: Cell::new(0),
             open: RefCell::default(),
             ended: Notify::new(),
@@ -293,13 +296,16 @@
                     // Whoever asks that needs no connection afterwards.
                     let ready = *self.stage.borrow() == Stage::Serving;
                     let mut said = self.status.borrow().clone();
-                    self.durable.iter().for_each(|durable| said += &durable.said());
+                    self.ledger().iter().for_each(|durable| said += &durable.said());
                     self.write(connection, if ready { 200 } else { 503 }, false, &[], said.as_bytes()).await;
                     false
                 }
                 Ok(Came::Asks { id, keep }) => {
-                    let told = self.durable.as_ref().and_then(|durable| durable.tell(&id));
-                    let (status, said) = told.map_or((404, String::new()), |told| (200, told));
+                    let (status, said) = match self.ledger().map(|durable| durable.tell(&id)) {
+                        Some(Some(told)) => (200, told),
+                        Some(None) => (404, String::new()),
+                        None => (503, String::new()),
+                    };
                     self.write(connection, status, keep, &[], said.as_bytes()).await && keep
                 }
                 Ok(Came::Work { work, left, keep }) if self.is_durable(&work) => {
@@ -313,7 +319,7 @@
                     let keep = keep && room && !self.stage.borrow().ends_connections();
                     let (status, fields, result) = self.words.now().answer(&answer);
                     let written = self.write(connection, status, keep, &fields, &result).await;
-                    if let (true, Some(durable), Some(wu)) = (written, &self.durable, wu) {
+                    if let (true, Some(durable), Some(wu)) = (written, self.ledger(), wu) {
                         durable.acknowledged(wu);
                     }
                     written && keep
@@ -379,7 +385,7 @@
         if head.target == READY_PATH {
             return Ok(Came::AsksReady);
         }
-        if let Some(id) = head.target.strip_prefix(TELL_PATH).filter(|_| self.durable.is_some()) {
+        if let Some(id) = head.target.strip_prefix(TELL_PATH).filter(|_| self.durably.is_some()) {
             if head.method != "GET" {
                 return Err(Some(405));
             }
@@ -389,8 +395,8 @@
             tracing::debug!("not taken: {why}");
             Some(status)
         })?;
-        if let Some(durable) = &self.durable {
-            work.key = words::key(&head, &durable.terms.key_header).map_err(|(status, why)| {
+        if let Some(terms) = &self.durably {
+            work.key = words::key(&head, &terms.key_header).map_err(|(status, why)| {
                 tracing::debug!("not taken: {why}");
                 Some(status)
             })?;
@@ -433,7 +439,25 @@
     }
 
     fn is_durable(&self, work: &Work) -> bool {
-        self.durable.as_ref().is_some_and(|durable| durable.wants(work))
+        let effect = self.words.now().effect(work.project_type);
+        let takes = |terms: &Durably| work.key.is_some() || effect.is_some_and(|effect| terms.takes(effect));
+        self.durably.as_ref().is_some_and(takes)
+    }
+
+    /// The ledger, once this process holds it.
+    fn ledger(&self) -> Option<Rc<Durable>> {
+        self.durable.borrow().clone()
+    }
+
+    /// From here on work is taken durably. What was numbered until then keeps out of the ledger's numbers.
+    pub fn open_ledger(&self, durable: Rc<Durable>) {
+        self.next_wu.set(self.next_wu.get().max(durable.next_wu()));
+        self.durable.replace(Some(durable));
+    }
+
+    /// Numbers work units from here on, so that those of a ledger that is opened later are free.
+    pub fn number_from(&self, first: u64) {
+        self.next_wu.set(first);
     }
 
     /// Takes a work unit on record, or finds it there, and waits for its answer; none where the client left,
@@ -445,8 +469,9 @@
         left: Duration,
         full: bool,
     ) -> Result<Option<(Answer, Option<WuId>)>, u16> {
-        let Some(durable) = &self.durable else { return Err(500) };
         let come_back = Answer::Deferred(Some(1000.0));
+        // The process before this one still holds the ledger.
+        let Some(durable) = self.ledger() else { return Ok(Some((come_back, None))) };
         let (joint, wu, last) = match durable.find(&work) {
             Found::OtherBody => return Err(422),
             Found::Twice => return Err(409),
--- a/crates/daemon/src/durable/mod.rs
+++ b/crates/daemon/src/durable/mod.rs
@@ -181,12 +181,6 @@
         self.ledger.borrow().next()
     }
 
-    /// Whether a work unit is taken durably.
-    pub fn wants(&self, work: &Work) -> bool {
-        let effect = self.words.now().effect(work.project_type);
-        work.key.is_some() || effect.is_some_and(|effect| self.terms.takes(effect))
-    }
-
     pub fn find(&self, work: &Work) -> Found {
         let ledger = self.ledger.borrow();
         let Some(wu) = work.key.as_ref().and_then(|key| ledger.by_key(key)) else {
--- a/crates/daemon/src/executors/mod.rs
+++ b/crates/daemon/src/executors/mod.rs
@@ -322,11 +322,19 @@
             // The last byte was not written, so it never runs.
             return (Outcome::NoConnection, None);
         }
+        // Guards against work that nobody waits for: where it may run again, breaking it off harms nothing.
+        let withdrawn = async {
+            match self.words.now().may_withdraw(exchange.work.project_type) {
+                true => exchange.over().await,
+                false => std::future::pending().await,
+            }
+        };
         let read = tokio::select! {
             biased;
             read = self.read(&mut connection, push, recorded.as_ref()) => read,
             () = run_out(recorded.as_ref()) => Ok((Outcome::TimedOut, None)),
             why = push.stop.told() => Ok((why, None)),
+            () = withdrawn => Ok((Outcome::Cancelled, None)),
             () = sleep_until(push.cut) => Ok((Outcome::TimedOut, None)),
         };
         match read {
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -32,7 +32,7 @@
 use limits::{Limits, Stated};
 use lists::{Told, merge::Merge};
 use management::Management;
-use operator::{OperatorFile, Source};
+use operator::{Durably, OperatorFile, Source};
 use stage::{Drain, Stages, Way};
 use std::cell::RefCell;
 use std::net::SocketAddr;
@@ -47,7 +47,10 @@
 use tracing_appender::non_blocking::NonBlockingBuilder;
 use troutknot::{Dispatcher, ListKind};
 use troutknot_hosting::Catalogue;
-use words::{InForce, List};
+use words::{InForce, List, Vocabulary};
+
+/// How often a ledger is tried that another process may hold.
+const LEDGER_AGAIN: Duration = Duration::from_millis(100);
 
 /// Writes the log's waiting lines when it is dropped; to be held until the process ends.
 pub struct LogGuard(#[allow(dead_code)] tracing_appender::non_blocking::WorkerGuard);
@@ -158,19 +161,29 @@
     let follow = Rc::new(Notify::new());
     let executors = Executors::new(limits.clone(), words.clone(), events.clone(), beside.clone());
     let status: Rc<RefCell<String>> = Rc::default();
-    let durable = match file.durable.clone() {
-        Some(terms) => Some(Durable::start(terms, &limits, clock, &words, &events)?),
-        None => None,
-    };
     let clients = Clients::new(
         limits.clone(),
         words.clone(),
         events.clone(),
         stages.watch(),
         status.clone(),
-        durable.clone(),
+        file.durable.clone(),
         beside.clone(),
     );
+    if let Some(terms) = file.durable.clone() {
+        let ledger =
+            OpenLedger { terms, limits: limits.clone(), clock, words: words.clone(), events: events.clone() };
+        let held =
+            if older.is_some() { Err("the process before this one has it".into()) } else { ledger.open() };
+        match held {
+            Ok(durable) => take_durably(durable, &clients, &stages),
+            Err(why) if !was_passed => return Err(why),
+            Err(_) => {
+                clients.number_from(clock.now().max(0.0) as u64 * 1000);
+                spawn_local(ledger.wait(clients.clone(), stages.clone()));
+            }
+        }
+    }
     let dispatcher = Dispatcher::new(values, seed, clock.now());
     let mut driver = Driver::new(
         dispatcher,
@@ -231,10 +244,6 @@
             }
         }
     }
-    if let Some(durable) = durable {
-        spawn_local(durable.clone().recover(stages.watch(), clients.held.clone()));
-        spawn_local(durable.forget());
-    }
     spawn_local(executors.clone().retire_idle());
     spawn_local(clients.clone().accept(listener, was_passed));
     let driver = spawn_local(driver.run());
@@ -293,6 +302,45 @@
     }
 }
 
+/// Takes durable work from now on, and takes up what is open on record.
+fn take_durably(durable: Rc<Durable>, clients: &Clients, stages: &Stages) {
+    clients.open_ledger(durable.clone());
+    spawn_local(durable.clone().recover(stages.watch(), clients.held.clone()));
+    spawn_local(durable.forget());
+}
+
+/// What is needed to open the ledger, which one process holds alone.
+struct OpenLedger {
+    terms: Durably,
+    limits: Rc<Limits>,
+    clock: Clock,
+    words: Rc<InForce<Vocabulary>>,
+    events: mpsc::Sender<Event>,
+}
+
+impl OpenLedger {
+    fn open(&self) -> Result<Rc<Durable>, String> {
+        Durable::start(self.terms.clone(), &self.limits, self.clock, &self.words, &self.events)
+    }
+
+    /// Opens it once the process before this one has ended; until then durable work is deferred.
+    async fn wait(self, clients: Rc<Clients>, stages: Rc<Stages>) {
+        tracing::info!("durable work is deferred until the process before this one has ended");
+        let mut said = String::new();
+        loop {
+            sleep(LEDGER_AGAIN).await;
+            match self.open() {
+                Ok(durable) => return take_durably(durable, &clients, &stages),
+                Err(why) if why != said => {
+                    tracing::info!("not yet: {why}");
+                    said = why;
+                }
+                Err(_) => {}
+            }
+        }
+    }
+}
+
 fn listen(addr: SocketAddr, backlog: u32) -> std::io::Result<TcpListener> {
     let socket = if addr.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
     // A node that starts again under its address must not wait for connections of its last life.
--- a/crates/daemon/src/words.rs
+++ b/crates/daemon/src/words.rs
@@ -72,6 +72,8 @@
     effects: Vec<Effect>,
     /// How often a work unit that is taken from now on may be sent.
     most_allocs: usize,
+    /// Whether an allocation may be cancelled.
+    cancel: bool,
     come_back_told: bool,
     longest_come_back: Millis,
     probe_path: &'static str,
@@ -118,6 +120,7 @@
             customers,
             places,
             kinds,
+            cancel: values.flag("limits.cancel"),
             come_back_told: values.flag("limits.come_back_told"),
             longest_come_back: values.number("limits.longest_come_back", f64::INFINITY),
             probe_path: if LoadFields::stated(settings).is_empty() { PROBE_PATH } else { REPORT_PATH },
@@ -134,6 +137,11 @@
         self.effects.get(project_type.0 as usize).copied()
     }
 
+    /// Whether what is out of such work may be broken off when nobody waits for it any more.
+    pub fn may_withdraw(&self, project_type: ProjectTypeId) -> bool {
+        self.cancel && self.effect(project_type) == Some(Effect::Rerunnable)
+    }
+
     pub fn most_allocs(&self) -> usize {
         self.most_allocs
     }
--- a/crates/daemon/tests/node.rs
+++ b/crates/daemon/tests/node.rs
@@ -288,6 +288,30 @@
     assert_eq!(executor.seen.lock().unwrap().len(), before + 1);
 }
 
+#[test]
+fn what_is_out_for_a_client_that_left_is_broken_off_where_it_may_run_again() {
+    let (executor, discovery) = one_executor();
+    let mut settings = settings();
+    settings["limits"]["cancel"] = json!(true);
+    let node = Node::start_with(&discovery, (256, 64), settings, "info");
+    let descriptors = || std::fs::read_dir(format!("/proc/{}/fd", node.process.id())).unwrap().count();
+    // A connection to the executor, to be used again, and none from a client.
+    let before = descriptors();
+    node.ask(work("render", &new_id(), 3.0, ""));
+    until("the client has gone", || descriptors() == before + 1);
+    for (k, (project_type, kept)) in [("render", 0), ("publish", 1)].into_iter().enumerate() {
+        executor.acts.lock().unwrap().push_back(Act::Wait);
+        let mut leaves = node.connect();
+        leaves.get_mut().write_all(work(project_type, &new_id(), 30.0, "").as_bytes()).unwrap();
+        executor.wait_for(k + 2);
+        let with_both = descriptors();
+        drop(leaves);
+        until("only what may not run again is waited for", || descriptors() == with_both - 2 + kept);
+        executor.go_on.send(()).unwrap();
+    }
+    assert_eq!(node.ask(work("render", &new_id(), 30.0, "")).0, 200);
+}
+
 #[test]
 fn asked_to_end_it_answers_what_is_taken_and_what_still_comes() {
     let (executor, discovery) = one_executor();
--- a/crates/daemon/tests/operation.rs
+++ b/crates/daemon/tests/operation.rs
@@ -244,9 +244,14 @@
 
     /// Starts one more process.
     fn start(&self, discovery: &Discovery) -> Operated {
+        self.start_by(discovery, "")
+    }
+
+    /// With the operator's own file.
+    fn start_by(&self, discovery: &Discovery, own: &str) -> Operated {
         let fd = self.socket.try_clone().unwrap().into();
         Operated::start(discovery, |program| {
-            program.env("ROUTER_PASSED_SOCKET", "5").env("TMPDIR", &self.folder);
+            program.env("ROUTER_PASSED_SOCKET", "5").env("TMPDIR", &self.folder).env("TROUTKNOT_FILE", own);
             program.fd_mappings(vec![FdMapping { parent_fd: fd, child_fd: 5 }]).unwrap();
         })
     }
@@ -409,3 +414,36 @@
     assert!(before.contains(logged), "{before}");
     assert_eq!(used_by(platform, executors), [0, 1].into());
 }
+
+#[test]
+fn a_ledger_is_held_by_one_process_and_its_work_is_never_open_in_both() {
+    let (executor, discovery) = one_executor();
+    let platform = Platform::new();
+    let file = |end: &str| format!("{}.{end}", platform.folder.display());
+    let (own, ledger) = (file("toml"), file("ledger"));
+    std::fs::write(&own, format!("[durable]\npath = \"{ledger}\"\n")).unwrap();
+    let keyed = |key: &str| {
+        work("publish", &new_id(), 9.0, "b").replacen("X-Other: kept", &format!("Idempotency-Key: {key}"), 1)
+    };
+    let old = platform.start_by(&discovery, &own);
+    executor.acts.lock().unwrap().push_back(Act::Wait);
+    let mut under_way = platform.connect();
+    under_way.get_mut().write_all(keyed("k1").as_bytes()).unwrap();
+    executor.wait_for(1);
+    let new = platform.start_by(&discovery, &own);
+    old.node.logged("the next process takes clients");
+    assert_eq!(ask(&mut platform.connect(), keyed("k1")).0, 503, "it is open in the process before");
+    assert_eq!(ask(&mut platform.connect(), keyed("k2")).0, 503);
+    assert_eq!(platform.post(&new_id()), 200, "other work is served");
+    old.node.terminate();
+    old.node.logged("asked to end");
+    executor.go_on.send(()).unwrap();
+    assert_eq!(answer(&mut under_way).0, 200);
+    drop(under_way);
+    assert!(old.node.logged("ended with").contains("ended with 0"));
+    until("the new process has the ledger", || ask(&mut platform.connect(), keyed("k1")).0 == 200);
+    assert_eq!(ask(&mut platform.connect(), keyed("k2")).0, 200);
+    assert_eq!(executor.seen.lock().unwrap().len(), 3, "each ran once");
+    drop(new);
+    [own, ledger].iter().for_each(|file| std::fs::remove_file(file).unwrap());
+}
