--- a/crates/cli/tests/rehearse.rs
+++ b/crates/cli/tests/rehearse.rs
@@ -122,6 +122,16 @@
              [[troubles]]\nkind = 'swallow'\nfrom = '1s'\nto = '3s'\nshare = 0.2\nproject_type = 'render'\n",
             |r| r["verdict"]["all"]["aborted"].as_u64() > Some(0),
         ),
+        (
+            "an upgrade under load with an executor out by hand, and settings that are taken and not",
+            "[[events]]\nwhat = 'suspend-executors'\nat = '200ms'\ngroup = 'box'\nlasts = '2500ms'\n\
+             [[events]]\nwhat = 'upgrade-node'\nat = '500ms'\nnode = 0\n\
+             [[events]]\nwhat = 'retune-nodes'\nat = '1s'\nattempts = 1\n\
+             [[events]]\nwhat = 'retune-nodes'\nat = '1500ms'\nattempts = 3\nbroken = true\n\
+             [[troubles]]\nkind = 'resets'\nfrom = '500ms'\nto = '3s'\nof_work = 0.1\n",
+            // With one attempt from 2.2 s on, what breaks is not tried again.
+            |r| r["verdict"]["all"]["allocations"].as_u64() > r["verdict"]["all"]["requests"].as_u64(),
+        ),
         (
             "a list from consul that flaps, goes silent and errs",
             "source = 'consul'\n[[events]]\nwhat = 'flap-executors'\nat = '300ms'\ngroup = 'box'\ncount = 2\n\
--- a/crates/emulator/src/observed.rs
+++ b/crates/emulator/src/observed.rs
@@ -86,6 +86,38 @@
     NodeReread {
         node: NodeNumber,
     },
+    /// A next process of the node starts beside it, and the one before has ended.
+    UpgradeBegan {
+        node: NodeNumber,
+    },
+    UpgradeOver {
+        node: NodeNumber,
+    },
+    /// An executor is out by hand at a node, which said yes or had a second; or is about to be called back.
+    LeftOut {
+        node: NodeNumber,
+        executor: ExecutorNumber,
+        out: bool,
+    },
+    /// A node is empty by hand, or is about to be asked to take clients again.
+    Drained {
+        node: NodeNumber,
+        drained: bool,
+    },
+    /// A call to a node was answered otherwise than it should be, or not within a second.
+    CallFailed {
+        node: NodeNumber,
+        status: Option<u16>,
+    },
+    /// What its health answered.
+    Health {
+        node: NodeNumber,
+        status: Option<u16>,
+    },
+    /// Each work unit that is taken from a while after now on may be sent so many times.
+    Retuned {
+        attempts: u32,
+    },
     NodeKilled {
         node: NodeNumber,
     },
--- a/crates/rehearsal/src/nodes.rs
+++ b/crates/rehearsal/src/nodes.rs
@@ -1,7 +1,9 @@
 //! Nodes as processes of their own, so that their signals and deaths are real.
+use command_fds::{CommandFdExt, FdMapping};
 use rustix::process::{Pid, Signal, kill_process};
 use std::fs::File;
 use std::io;
+use std::net::{SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 
@@ -33,16 +35,31 @@
     fn used(&self) -> Used;
 }
 
+/// What a process of a node is started with.
+pub struct Start<'a> {
+    pub config: &'a Path,
+    /// The operator's own file, perhaps.
+    pub own: Option<&'a Path>,
+    /// Where what it logs goes.
+    pub log: File,
+    /// Where operators call it.
+    pub management: Option<SocketAddr>,
+    /// The clients' socket, where it is passed on, and the folder that all processes of the node share.
+    pub passed: Option<(TcpListener, PathBuf)>,
+}
+
 /// Starts nodes: the real ones, or in tests ones that are wrong on purpose.
 pub trait Launch: Send + Sync {
-    /// Starts a node with its configuration and, perhaps, the operator's own file; what it logs goes into a
-    /// file.
+    /// Starts a process of a node.
     ///
     /// # Errors
     /// Where it cannot be started.
-    fn start(&self, config: &Path, own: Option<&Path>, log: File) -> io::Result<Box<dyn Running>>;
+    fn start(&self, start: Start) -> io::Result<Box<dyn Running>>;
 }
 
+/// The descriptor under which a process finds the clients' socket.
+const PASSED: i32 = 5;
+
 /// A program that runs a node when it is given these arguments, with `ROUTER_CONFIG` set.
 pub struct Program {
     pub path: PathBuf,
@@ -56,16 +73,24 @@
 }
 
 impl Launch for Program {
-    fn start(&self, config: &Path, own: Option<&Path>, log: File) -> io::Result<Box<dyn Running>> {
-        let errors = log.try_clone()?;
-        let child = Command::new(&self.path)
+    fn start(&self, start: Start) -> io::Result<Box<dyn Running>> {
+        let errors = start.log.try_clone()?;
+        let mut command = Command::new(&self.path);
+        command
             .args(&self.args)
-            .env("ROUTER_CONFIG", config)
-            .env("TROUTKNOT_FILE", own.unwrap_or(Path::new("")))
+            .env("ROUTER_CONFIG", start.config)
+            .env("TROUTKNOT_FILE", start.own.unwrap_or(Path::new("")))
+            .env("ROUTER_MANAGEMENT", start.management.map_or(String::new(), |at| at.to_string()))
+            .env("ROUTER_PASSED_SOCKET", "")
             .stdin(Stdio::null())
-            .stdout(log)
-            .stderr(errors)
-            .spawn()?;
+            .stdout(start.log)
+            .stderr(errors);
+        if let Some((socket, folder)) = start.passed {
+            command.env("ROUTER_PASSED_SOCKET", PASSED.to_string()).env("TMPDIR", folder);
+            let mapping = FdMapping { parent_fd: socket.into(), child_fd: PASSED };
+            command.fd_mappings(vec![mapping]).map_err(io::Error::other)?;
+        }
+        let child = command.spawn()?;
         Ok(Box::new(Process { child, used: Default::default() }))
     }
 }
--- a/crates/rehearsal/src/plan.rs
+++ b/crates/rehearsal/src/plan.rs
@@ -94,6 +94,23 @@
     TroubleDiscovery {
         how: Option<How>,
     },
+    /// Operators call all nodes: it is out by hand, or back.
+    LeaveOut {
+        executor: usize,
+        out: bool,
+    },
+    /// Operators empty a node, or have it take clients again.
+    DrainNode {
+        node: usize,
+        drain: bool,
+    },
+    UpgradeNode {
+        node: usize,
+    },
+    RetuneNodes {
+        attempts: u32,
+        broken: bool,
+    },
 }
 
 #[derive(Clone, Debug)]
@@ -275,8 +292,7 @@
                     }
                 }
                 EventKind::RestartNode => {
-                    let longest = scenario.project_types.iter().map(|t| t.get_ref().hard_limit).max();
-                    let granted = millis(longest.unwrap_or_default().min(Duration::from_secs(3))) + 700.0;
+                    let granted = millis(scenario.granted());
                     steps.push((at, Step::EndNode { node }));
                     steps.push((at + granted, Step::KillNode { node }));
                     steps.push((at + granted + back.unwrap_or(0.0), Step::StartNode { node }));
@@ -301,6 +317,24 @@
                         }
                     }
                 }
+                EventKind::SuspendExecutors => {
+                    let of = in_group(&executors, &event.group);
+                    let end = at + event.lasts.map_or(0.0, millis);
+                    for executor in chosen(&mut rng, of, event.count.unwrap_or(1)) {
+                        steps.push((at, Step::LeaveOut { executor, out: true }));
+                        steps.push((end, Step::LeaveOut { executor, out: false }));
+                    }
+                }
+                EventKind::DrainNode => {
+                    let end = at + event.lasts.map_or(0.0, millis);
+                    steps.push((at, Step::DrainNode { node, drain: true }));
+                    steps.push((end, Step::DrainNode { node, drain: false }));
+                }
+                EventKind::UpgradeNode => steps.push((at, Step::UpgradeNode { node })),
+                EventKind::RetuneNodes => {
+                    let (attempts, broken) = (event.attempts.unwrap_or(1), event.broken.unwrap_or(false));
+                    steps.push((at, Step::RetuneNodes { attempts, broken }));
+                }
                 EventKind::TroubleDiscovery => {
                     let end = at + event.lasts.map_or(0.0, millis);
                     steps.push((at, Step::TroubleDiscovery { how: event.how }));
--- a/crates/rehearsal/src/referee.rs
+++ b/crates/rehearsal/src/referee.rs
@@ -133,11 +133,35 @@
     ups: BTreeMap<ExecutorNumber, Vec<Millis>>,
     downs: BTreeMap<ExecutorNumber, Vec<Millis>>,
     killed: HashMap<NodeNumber, Vec<Millis>>,
+    /// By node and executor: when it was left out by hand, or let back.
+    out: HashMap<(NodeNumber, ExecutorNumber), Vec<(Millis, bool)>>,
+    /// By node: when it was drained by hand, or activated.
+    drained: HashMap<NodeNumber, Vec<(Millis, bool)>>,
+    /// Of each upgrade: its node, its begin and its end.
+    upgrades: Vec<(NodeNumber, Millis, Millis)>,
+    /// From when on work units may be sent so many times.
+    attempts: Vec<(Millis, usize)>,
     fell: Vec<(Millis, ExecutorNumber)>,
-    no_way_in: HashMap<usize, usize>,
+    no_way_in: HashMap<usize, Vec<Millis>>,
     breaches: Vec<Breach>,
 }
 
+/// A node may take so long over new settings; and a drained one over taking nothing more, of its 4 s.
+const SETTLED: Millis = 1200.0;
+const LAST_TAKEN: Millis = 2000.0;
+/// After an upgrade's end requests may still meet its doing for so long; and so many may in one upgrade.
+const UPGRADE_TAIL: Millis = 300.0;
+const MOST_AT_THE_DOOR: usize = 2;
+
+/// What holds at a time, of words in order; the time since which, and the word.
+fn at_time<T: Copy + PartialEq>(words: Option<&Vec<(Millis, T)>>, at: Millis) -> Option<(Millis, T)> {
+    let words = words?;
+    let (_, word) = *words[..words.partition_point(|(since, _)| *since <= at)].last()?;
+    // The first of an unbroken run of the same.
+    let run = words[..words.partition_point(|(since, _)| *since <= at)].iter().rev();
+    run.take_while(|(_, same)| *same == word).last().copied()
+}
+
 impl Sifted {
     fn of(facts: &Facts, seen: &[(Millis, Seen)]) -> Self {
         let mut s = Sifted::default();
@@ -173,7 +197,31 @@
                         t.cut = Some((at, *reused));
                     }
                 }
-                Seen::NoWayIn { request } => *s.no_way_in.entry(*request).or_default() += 1,
+                Seen::NoWayIn { request } => s.no_way_in.entry(*request).or_default().push(at),
+                Seen::LeftOut { node, executor, out } => {
+                    s.out.entry((*node, *executor)).or_default().push((at, *out));
+                }
+                Seen::Drained { node, drained } => s.drained.entry(*node).or_default().push((at, *drained)),
+                Seen::UpgradeBegan { node } => s.upgrades.push((*node, at, f64::INFINITY)),
+                Seen::UpgradeOver { node } => {
+                    let last = s.upgrades.iter_mut().rev().find(|(of, ..)| of == node);
+                    last.into_iter().for_each(|(_, _, end)| *end = at);
+                }
+                Seen::Retuned { attempts } => s.attempts.push((at, *attempts as usize)),
+                Seen::CallFailed { node, status } => s.breaches.push(Breach {
+                    rule: 3,
+                    name: "call-failed",
+                    at,
+                    what: format!("node n{node} answered a call {status:?}, or not in time"),
+                }),
+                Seen::Health { node, status } => {
+                    let drained = at_time(s.drained.get(node), at).is_some_and(|(_, drained)| drained);
+                    if drained == (*status == Some(200)) {
+                        let name = if drained { "ready-while-drained" } else { "not-ready-again" };
+                        let what = format!("the health of node n{node} answered {status:?}");
+                        s.breaches.push(Breach { rule: 1, name, at, what });
+                    }
+                }
                 Seen::Received { executor, alloc, id, first_byte, slots, work } => {
                     let (executor, first_byte, slots, work) = (*executor, *first_byte, *slots, *work);
                     if let Some(t) = s.tries.get_mut(id) {
@@ -254,10 +302,13 @@
                         });
                     }
                 }
-                Seen::NodeStarted { .. }
-                | Seen::NodeReread { .. }
-                | Seen::TroubleBegan { .. }
-                | Seen::TroubleOver { .. } => {}
+                // A process that follows none has heard of no call.
+                Seen::NodeStarted { node } => {
+                    let of_node = s.out.iter_mut().filter(|((of, _), _)| of == node);
+                    of_node.for_each(|(_, words)| words.push((at, false)));
+                    s.drained.entry(*node).or_default().push((at, false));
+                }
+                Seen::NodeReread { .. } | Seen::TroubleBegan { .. } | Seen::TroubleOver { .. } => {}
             }
         }
         s.told.values_mut().for_each(|told| told.sort_by(|a, b| a.0.total_cmp(&b.0)));
@@ -322,6 +373,8 @@
     no_second_effect_over_tries(facts, &s, &mut breaches);
     one_answer_for_a_key(facts, &s, &mut breaches);
     let longest = nothing_after_a_drain(facts, &s, &mut breaches);
+    nothing_while_out_or_drained(facts, &s, &mut breaches);
+    no_gap_over_an_upgrade(facts, &s, &mut breaches);
     let used = no_cold_one_pushed_over(facts, &s, &mut breaches);
     breaches.sort_by(|a, b| a.at.total_cmp(&b.at));
     let mut verdict = count(facts, &s);
@@ -398,8 +451,11 @@
         breaches.push(Breach { rule: 2, name, at, what: format!("{} {id}: {what}", kind.name) });
     };
     let allocs: Vec<&Alloc> = s.of_try(t).collect();
-    if allocs.len() > facts.most_allocations {
-        let at = allocs[facts.most_allocations].received;
+    // What came a while before new settings may go by either.
+    let in_force = |at| at_time(Some(&s.attempts), at).map_or(facts.most_allocations, |(_, most)| most);
+    let most = in_force(t.sent).max(in_force(t.sent - SETTLED));
+    if allocs.len() > most {
+        let at = allocs[most].received;
         broken("too-many-allocations", at, format!("{} allocations", allocs.len()));
     }
     for (k, later) in allocs.iter().enumerate().skip(1) {
@@ -537,6 +593,56 @@
     longest
 }
 
+/// Rule 3 by hand: nothing new to an executor past the grace after the node was told to leave it out, until the
+/// call back; and a drained node takes nothing.
+fn nothing_while_out_or_drained(facts: &Facts, s: &Sifted, breaches: &mut Vec<Breach>) {
+    for alloc in s.allocs.values() {
+        let Some(t) = s.tries.get(&alloc.id) else { continue };
+        let (node, at) = (t.node, alloc.first_byte);
+        let shown = |since| format!("at {}, told at {}", facts.shown(at), facts.shown(since));
+        if let Some((since, true)) = at_time(s.out.get(&(node, alloc.executor)), at)
+            && at > since + facts.drain_grace + facts.slack
+        {
+            let executor = facts.executor(alloc.executor);
+            let what =
+                format!("n{node} sent {} to {executor}, which is out by hand, {}", alloc.id, shown(since));
+            breaches.push(Breach { rule: 3, name: "sent-to-banned", at, what });
+        }
+        if let Some((since, true)) = at_time(s.drained.get(&node), t.sent)
+            && t.sent > since + LAST_TAKEN
+        {
+            let what = format!("n{node}, which is drained, took {} and sent it {}", alloc.id, shown(since));
+            breaches.push(Breach { rule: 1, name: "taken-while-drained", at, what });
+        }
+    }
+}
+
+/// Clients see one node while one process follows another.
+fn no_gap_over_an_upgrade(facts: &Facts, s: &Sifted, breaches: &mut Vec<Breach>) {
+    for &(node, began, end) in &s.upgrades {
+        let within = |at: Millis| (began..=end + UPGRADE_TAIL).contains(&at);
+        let unread = |t: &&Try| {
+            t.node == node
+                && t.allocs.is_empty()
+                && t.answered.is_none()
+                && t.cut.is_some_and(|(at, _)| within(at))
+        };
+        let cut = s.tries.values().filter(unread).count();
+        // While a node is drained there may be none to go to.
+        let drained = |at: Millis| s.drained.values().any(|w| at_time(Some(w), at).is_some_and(|(_, d)| d));
+        let refused = s.no_way_in.values().flatten().filter(|at| within(**at) && !drained(**at)).count();
+        if cut + refused > MOST_AT_THE_DOOR {
+            let what = format!(
+                "{cut} requests to n{node} were cut unread and {refused} found no way in while it was upgraded \
+                 from {} to {}",
+                facts.shown(began),
+                facts.shown(end)
+            );
+            breaches.push(Breach { rule: 1, name: "ended-at-the-door", at: began, what });
+        }
+    }
+}
+
 /// Rule 4; the largest share of a cold budget that was used.
 fn no_cold_one_pushed_over(facts: &Facts, s: &Sifted, breaches: &mut Vec<Breach>) -> f64 {
     let mut most = 0.0f64;
--- a/crates/rehearsal/src/scenario.rs
+++ b/crates/rehearsal/src/scenario.rs
@@ -462,6 +462,16 @@
     FlapExecutors,
     /// Consul's agents go wrong, `how`, for a while.
     TroubleDiscovery,
+    /// Operators leave executors of a group out by hand, at every node, and call them back after `lasts`.
+    SuspendExecutors,
+    /// Operators empty a node, and have it take clients again after `lasts`.
+    DrainNode,
+    /// A node's next process starts beside it with the same clients' socket; once that is ready the first one
+    /// gets SIGTERM.
+    UpgradeNode,
+    /// New settings and SIGHUP: each work unit may be sent so many times from now on. A `broken` file says so, too,
+    /// and lacks a key.
+    RetuneNodes,
 }
 
 #[derive(Deserialize, Clone, Debug)]
@@ -481,6 +491,8 @@
     #[serde(default, with = "humantime_serde")]
     pub lasts: Option<Duration>,
     pub how: Option<How>,
+    pub attempts: Option<u32>,
+    pub broken: Option<bool>,
 }
 
 /// What the day must reach.
@@ -587,6 +599,10 @@
             EventKind::SilenceDiscovery => &["lasts*"],
             EventKind::FlapExecutors => &["group*", "every*", "lasts*", "count"],
             EventKind::TroubleDiscovery => &["how*", "lasts*"],
+            EventKind::SuspendExecutors => &["group*", "lasts*", "count"],
+            EventKind::DrainNode => &["node*", "lasts*"],
+            EventKind::UpgradeNode => &["node*"],
+            EventKind::RetuneNodes => &["attempts*", "broken"],
         }
     }
 }
@@ -597,6 +613,24 @@
         self.durable.is_some() && project_type.effect == Effect::Exclusive
     }
 
+    /// Whether operators call nodes, replace their processes or their settings.
+    pub fn is_operated(&self) -> bool {
+        use EventKind::*;
+        let operates = |what| matches!(what, SuspendExecutors | DrainNode | UpgradeNode | RetuneNodes);
+        self.events.iter().any(|event| operates(event.get_ref().what))
+    }
+
+    /// Whether clients' sockets are passed from one process to the next.
+    pub fn is_upgraded(&self) -> bool {
+        self.events.iter().any(|event| event.get_ref().what == EventKind::UpgradeNode)
+    }
+
+    /// What a node that is asked to end is granted.
+    pub fn granted(&self) -> Duration {
+        let longest = self.project_types.iter().map(|t| t.get_ref().hard_limit).max().unwrap_or_default();
+        longest.min(Duration::from_secs(3)) + Duration::from_millis(700)
+    }
+
     /// Reads a scenario and checks it whole; `file` is named in the faults.
     ///
     /// # Errors
@@ -764,6 +798,8 @@
                 ("every", e.every.is_some()),
                 ("lasts", e.lasts.is_some()),
                 ("how", e.how.is_some()),
+                ("attempts", e.attempts.is_some()),
+                ("broken", e.broken.is_some()),
             ];
             self.keys(c, &at, &format!("an event {:?}", e.what), &given, e.what.keys());
             let consul = self.discovery.source == Source::Consul;
@@ -783,6 +819,7 @@
             {
                 c.fault(&at, "every", "`every` of 50ms at least is allowed".into());
             }
+            c.number(&at, "attempts", e.attempts.unwrap_or(1) as f64, 1.0..3.0);
             if e.at > self.length {
                 c.fault(&at, "at", "`at` must be within the day".into());
             }
--- a/crates/rehearsal/src/world.rs
+++ b/crates/rehearsal/src/world.rs
@@ -2,22 +2,28 @@
 //! the plan says. All of it lives on one thread.
 use crate::briefing::{self, PLACE};
 use crate::lists::{self, ConsulList, NodeList};
-use crate::nodes::{Ask, Launch, Running, Used};
+use crate::nodes::{Ask, Launch, Running, Start, Used};
 use crate::plan::{Plan, Step, opens_after};
 use crate::scenario::Scenario;
 use anyhow::{Context, Result, anyhow};
+use bytes::Bytes;
+use http_body_util::Empty;
+use hyper::Request;
+use hyper::client::conn::http1::handshake;
+use hyper_util::rt::TokioIo;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use serde_json::Value;
 use std::cell::{Cell, RefCell};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tokio::net::TcpStream;
 use tokio::task::spawn_local;
-use tokio::time::{Instant, sleep, sleep_until};
+use tokio::time::{Instant, sleep, sleep_until, timeout};
 use troutknot_emulator::discovery::{Agent, Member};
 use troutknot_emulator::executors::{Host, Shared};
 use troutknot_emulator::front::health;
@@ -71,6 +77,12 @@
     /// The operator's own file, where the scenario needs one.
     own: PathBuf,
     running: Option<Box<dyn Running>>,
+    /// The process before, while the next one takes its place.
+    older: Option<Box<dyn Running>>,
+    /// The clients' socket, where it is passed on, and the folder that its processes share.
+    passed: Option<(TcpListener, PathBuf)>,
+    /// Where operators call the process that runs.
+    calls: Option<SocketAddr>,
     /// Of the lives before.
     used: Used,
     /// Restarts draw other seeds.
@@ -92,6 +104,34 @@
     unix: f64,
     /// The latest that a step was taken, in milliseconds.
     late: Cell<f64>,
+    /// How often nodes are told that a work unit may be sent.
+    attempts: Cell<u32>,
+}
+
+/// A caller waits so long; a drained node is empty, and one that takes clients again is ready, after so long;
+/// a next process has so long to be ready.
+const CALL_WAIT: Duration = Duration::from_secs(1);
+const EMPTY_AFTER: Duration = Duration::from_secs(4);
+const READY_AGAIN: Duration = Duration::from_secs(2);
+const NEXT_WAIT: Duration = Duration::from_secs(6);
+
+/// One call of an operator; its status.
+async fn ask(to: SocketAddr, method: &str, path: &str) -> Option<u16> {
+    let stream = TcpStream::connect(to).await.ok()?;
+    let (mut send, connection) = handshake(TokioIo::new(stream)).await.ok()?;
+    let connection = spawn_local(connection);
+    let request = Request::builder().method(method).uri(path).header("host", to.to_string());
+    let answer = send.send_request(request.body(Empty::<Bytes>::new()).ok()?).await.ok();
+    connection.abort();
+    answer.map(|answer| answer.status().as_u16())
+}
+
+/// Makes a configuration that says so many attempts, and lacks a key.
+fn spoil(config: &Path, attempts: u32) -> Result<()> {
+    let mut broken: Value = serde_json::from_str(&std::fs::read_to_string(config)?)?;
+    broken["settings"]["limits"]["max_allocations"] = attempts.into();
+    broken["settings"].as_object_mut().map(|settings| settings.remove("contract"));
+    Ok(std::fs::write(config, broken.to_string())?)
 }
 
 impl World {
@@ -125,6 +165,7 @@
             nodes: RefCell::default(),
             chance: RefCell::new(ChaCha8Rng::seed_from_u64(plan.seed ^ 0x77_6f72_6c64)),
             late: Cell::new(0.0),
+            attempts: Cell::new(scenario.rules.most_allocations),
             scenario,
             plan,
             record,
@@ -152,9 +193,16 @@
                 ),
             };
             // A port that is free now, on an address of the node's own.
-            let free = TcpListener::bind(addresses.node(number)).and_then(|l| l.local_addr());
-            let addr = free.with_context(|| format!("no port on {}", addresses.node(number)))?;
+            let at = addresses.node(number);
+            let free = TcpListener::bind(at).with_context(|| format!("no port on {at}"))?;
+            let addr = free.local_addr().with_context(|| format!("no port on {at}"))?;
             let file = |kind: &str| folder.join(format!("n{number}.{kind}"));
+            let passed = world.scenario.is_upgraded().then(|| {
+                // Nodes meet under a short path, whatever the rehearsal's folder is.
+                let meeting = std::env::temp_dir().join(format!("troutknot-{}-{number}", addr.port()));
+                std::fs::create_dir_all(&meeting).map(|()| (free, meeting))
+            });
+            let passed = passed.transpose().context("no folder for a node's processes")?;
             let node = Node {
                 addr,
                 config: file("json"),
@@ -162,11 +210,15 @@
                 list,
                 own: file("toml"),
                 running: None,
+                older: None,
+                passed,
+                calls: None,
                 used: Used::default(),
                 lives: 0,
             };
             world.nodes.borrow_mut().push(node);
-            world.start_node(number)?;
+            let process = world.start_process(number)?;
+            world.nodes.borrow_mut()[number].running = Some(process);
         }
         world.wait_until_ready().await?;
         spawn_local(world.clone().look_after_nodes());
@@ -213,11 +265,14 @@
     pub fn end(&self) -> Vec<Used> {
         let mut nodes = self.nodes.borrow_mut();
         let each = nodes.iter_mut().map(|node| {
-            if let Some(mut running) = node.running.take() {
+            for mut running in node.running.take().into_iter().chain(node.older.take()) {
                 let used = running.used();
                 let _ = running.ask(Ask::Die);
                 node.add(used);
             }
+            if let Some((_, folder)) = &node.passed {
+                let _ = std::fs::remove_dir_all(folder);
+            }
             node.used
         });
         each.collect()
@@ -273,6 +328,7 @@
                 let mut nodes = self.nodes.borrow_mut();
                 let node_number = *node as NodeNumber;
                 let node = &mut nodes[*node];
+                node.older.take().map(|mut older| older.ask(Ask::Die));
                 if let Some(mut running) = node.running.take() {
                     // One that was asked to end may have done so.
                     match running.ended() {
@@ -292,11 +348,10 @@
                     let _ = running.ask(Ask::End);
                 }
             }
-            Step::StartNode { node } => {
-                if let Err(why) = self.start_node(*node) {
-                    eprintln!("node n{node} does not start again: {why}");
-                }
-            }
+            Step::StartNode { node } => match self.start_process(*node) {
+                Ok(process) => self.nodes.borrow_mut()[*node].running = Some(process),
+                Err(why) => eprintln!("node n{node} does not start again: {why}"),
+            },
             Step::RereadNodes => {
                 for number in 0..self.scenario.nodes.count {
                     let moved = self.nodes.borrow()[number].list.move_to(self.addresses.agent(number));
@@ -309,6 +364,31 @@
                     }
                 }
             }
+            Step::LeaveOut { executor, out } => {
+                for node in 0..self.scenario.nodes.count {
+                    spawn_local(self.clone().leave_out(node, *executor, *out));
+                }
+            }
+            Step::DrainNode { node, drain } => _ = spawn_local(self.clone().drain(*node, *drain)),
+            Step::UpgradeNode { node } => _ = spawn_local(self.clone().upgrade(*node)),
+            Step::RetuneNodes { attempts, broken } => {
+                if !broken {
+                    self.record.note(Seen::Retuned { attempts: *attempts });
+                    self.attempts.set(*attempts);
+                }
+                for number in 0..self.scenario.nodes.count {
+                    if self.write_config(number).is_err() {
+                        continue;
+                    }
+                    let mut nodes = self.nodes.borrow_mut();
+                    let node = &mut nodes[number];
+                    let spoilt = if *broken { spoil(&node.config, *attempts) } else { Ok(()) };
+                    self.record.note(Seen::NodeReread { node: number as NodeNumber });
+                    if let (Ok(()), Some(running)) = (spoilt, &mut node.running) {
+                        let _ = running.ask(Ask::Reread);
+                    }
+                }
+            }
             Step::SilenceDiscovery { on } => {
                 self.nodes.borrow().iter().for_each(|node| node.list.silent(*on));
             }
@@ -372,14 +452,16 @@
         let node = &nodes[number];
         let known = node.list.known(&self.listed.borrow());
         let seed = self.plan.seed ^ (number as u64) << 32 ^ node.lives << 48;
-        let config =
+        let mut config =
             briefing::config(&self.scenario, number, node.addr, node.list.addr(), seed, known.clone());
+        config["settings"]["limits"]["max_allocations"] = self.attempts.get().into();
         std::fs::write(&node.config, config.to_string())
             .with_context(|| format!("cannot write {}", node.config.display()))?;
         Ok(known)
     }
 
-    fn start_node(&self, number: usize) -> Result<()> {
+    /// Starts a process of a node, to be kept by whoever asks for it.
+    fn start_process(&self, number: usize) -> Result<Box<dyn Running>> {
         let known = self.write_config(number)?;
         let by_name: std::collections::HashMap<String, (ExecutorNumber, Listed)> =
             self.listed.borrow().iter().flatten().map(|m| (m.id.clone(), (m.executor, m.listed))).collect();
@@ -387,7 +469,10 @@
         let node = &mut nodes[number];
         let log = std::fs::File::options().create(true).append(true).open(&node.log);
         let log = log.with_context(|| format!("cannot write {}", node.log.display()))?;
-        self.record.note(Seen::NodeStarted { node: number as NodeNumber });
+        let beside = node.running.is_some();
+        if !beside {
+            self.record.note(Seen::NodeStarted { node: number as NodeNumber });
+        }
         for entry in known["servers"].as_array().into_iter().flatten() {
             if let Some((executor, _)) = entry["id"].as_str().and_then(|id| by_name.get(id)) {
                 let listed = if entry["state"] == "Ready" { Listed::Ready } else { Listed::Terminating };
@@ -400,9 +485,110 @@
             lists::write_own(&node.own, text)?;
         }
         let own = own.is_some().then_some(node.own.as_path());
-        node.running = Some(self.launch.start(&node.config, own, log).context("cannot start a node")?);
+        let passed = match &node.passed {
+            Some((socket, folder)) => Some((socket.try_clone()?, folder.clone())),
+            None => None,
+        };
+        node.calls = match self.scenario.is_operated() {
+            true => Some(TcpListener::bind(self.addresses.node(number)).and_then(|l| l.local_addr())?),
+            false => None,
+        };
+        let start = Start { config: &node.config, own, log, management: node.calls, passed };
+        let process = self.launch.start(start).context("cannot start a node")?;
         node.lives += 1;
-        Ok(())
+        Ok(process)
+    }
+
+    /// Calls the process of a node that runs; true where it said yes within a second.
+    async fn call(&self, number: usize, method: &str, path: &str) -> bool {
+        let calls = self.nodes.borrow()[number].calls;
+        let status = match calls {
+            Some(calls) => timeout(CALL_WAIT, ask(calls, method, path)).await.ok().flatten(),
+            None => None,
+        };
+        let yes = status.is_some_and(|status| (200..300).contains(&status));
+        if !yes {
+            self.record.note(Seen::CallFailed { node: number as NodeNumber, status });
+        }
+        yes
+    }
+
+    async fn leave_out(self: Rc<Self>, number: usize, executor: usize, out: bool) {
+        let name = self.hosts.borrow()[executor].as_ref().map(|host| host.name.clone()).unwrap_or_default();
+        let left_out =
+            Seen::LeftOut { node: number as NodeNumber, executor: executor as ExecutorNumber, out };
+        if !out {
+            // From the call on it may serve again.
+            self.record.note(left_out.clone());
+        }
+        let what = if out { "suspend" } else { "resume" };
+        self.call(number, "PUT", &format!("/v1/executors/{name}/{what}")).await;
+        if out {
+            self.record.note(left_out);
+        }
+    }
+
+    async fn drain(self: Rc<Self>, number: usize, drain: bool) {
+        let node = number as NodeNumber;
+        if !drain {
+            self.record.note(Seen::Drained { node, drained: false });
+        }
+        self.call(number, "PUT", if drain { "/v1/node/drain" } else { "/v1/node/activate" }).await;
+        if drain {
+            self.record.note(Seen::Drained { node, drained: true });
+        }
+        sleep(if drain { EMPTY_AFTER } else { READY_AGAIN }).await;
+        let addr = self.nodes.borrow()[number].addr;
+        let status = timeout(CALL_WAIT, health(addr)).await.ok().flatten();
+        self.record.note(Seen::Health { node, status });
+    }
+
+    /// Starts a node's next process and ends the one before once that is ready, as the platform does.
+    async fn upgrade(self: Rc<Self>, number: usize) {
+        let node = number as NodeNumber;
+        if self.nodes.borrow()[number].running.is_none() {
+            return;
+        }
+        self.record.note(Seen::UpgradeBegan { node });
+        let next = match self.start_process(number) {
+            Ok(next) => next,
+            Err(why) => return eprintln!("no next process of node n{number}: {why}"),
+        };
+        {
+            let mut nodes = self.nodes.borrow_mut();
+            nodes[number].older = nodes[number].running.replace(next);
+        }
+        let end = Instant::now() + NEXT_WAIT;
+        let calls = self.nodes.borrow()[number].calls;
+        let mut ready = false;
+        while let (false, Some(calls)) = (ready || Instant::now() > end, calls) {
+            ready = timeout(CALL_WAIT, ask(calls, "GET", "/v1/readyz")).await.ok().flatten() == Some(200);
+            sleep(LOOK_EVERY).await;
+        }
+        if !ready {
+            self.record.note(Seen::CallFailed { node, status: None });
+        }
+        let asked = |node: &mut Node| node.older.as_mut().map(|older| older.ask(Ask::End));
+        asked(&mut self.nodes.borrow_mut()[number]);
+        let end = Instant::now() + self.scenario.granted();
+        loop {
+            sleep(LOOK_EVERY).await;
+            let mut nodes = self.nodes.borrow_mut();
+            let Some(older) = &mut nodes[number].older else { break };
+            let used = older.used();
+            let ended = older.ended();
+            if ended.is_none() && Instant::now() < end {
+                continue;
+            }
+            if ended == Some(false) {
+                self.record.note(Seen::NodeEnded { node, well: false });
+            }
+            let _ = older.ask(Ask::Die);
+            nodes[number].older = None;
+            nodes[number].add(used);
+            break;
+        }
+        self.record.note(Seen::UpgradeOver { node });
     }
 
     /// Notes nodes that end by themselves.
--- a/crates/rehearsal/tests/mutants.rs
+++ b/crates/rehearsal/tests/mutants.rs
@@ -6,22 +6,21 @@
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use serde_json::Value;
-use std::cell::RefCell;
-use std::collections::BTreeMap;
-use std::fs::File;
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, BTreeSet};
 use std::io;
 use std::net::SocketAddr;
 use std::path::Path;
 use std::rc::Rc;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
-use tokio::net::TcpStream;
-use tokio::sync::oneshot;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc;
 use tokio::task::{LocalSet, spawn_local};
 use tokio::time::sleep;
 use troutknot_emulator::wire::{self, Cut, Line, Lines};
-use troutknot_rehearsal::nodes::{Ask, Launch, Running, Used};
+use troutknot_rehearsal::nodes::{Ask, Launch, Running, Start, Used};
 use troutknot_rehearsal::run::{Progress, Report, rehearse};
 use troutknot_rehearsal::scenario::Scenario;
 
@@ -40,6 +39,25 @@
     DefersWhatMayHaveRun,
     IgnoresDrains,
     IgnoresWarmth,
+    IgnoresBans,
+    LosesBansOverAnUpgrade,
+    DropsConnectionsUnread,
+    TakesHalfOfABrokenFile,
+    StaysReadyWhileDrained,
+    AnswersNoCall,
+}
+
+/// What all processes of the node know of what operators called.
+#[derive(Default)]
+struct Called {
+    out: BTreeSet<String>,
+    drained: bool,
+}
+
+/// Starts processes of the one node.
+struct Processes {
+    wrong: Wrong,
+    called: Arc<Mutex<Called>>,
 }
 
 #[derive(Clone)]
@@ -56,6 +74,10 @@
     ramp_ms: f64,
     members: RefCell<BTreeMap<String, Member>>,
     turn: RefCell<usize>,
+    called: Arc<Mutex<Called>>,
+    attempts: Cell<u64>,
+    /// Another process has the clients.
+    left: Cell<bool>,
 }
 
 /// What came of an allocation.
@@ -109,12 +131,15 @@
     fn pick(&self) -> Option<SocketAddr> {
         let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_secs_f64() * 1000.0;
         let members = self.members.borrow();
-        let may = |m: &&Member| match self.wrong {
+        let may = |m: &Member| match self.wrong {
             Wrong::IgnoresDrains => m.started_ms == 0.0,
             Wrong::IgnoresWarmth => m.ready && m.started_ms > 0.0,
             _ => m.ready && now - m.started_ms > self.ramp_ms,
         };
-        let mut of: Vec<SocketAddr> = members.values().filter(may).map(|m| m.addr).collect();
+        let called = self.called.lock().unwrap();
+        let out = |id: &String| self.wrong != Wrong::IgnoresBans && called.out.contains(id);
+        let may_now = |(id, m): &(&String, &Member)| may(m) && !out(id);
+        let mut of: Vec<SocketAddr> = members.iter().filter(may_now).map(|(_, m)| m.addr).collect();
         if of.is_empty() && self.wrong == Wrong::IgnoresWarmth {
             of = members.values().filter(|m| m.ready).map(|m| m.addr).collect();
         }
@@ -171,7 +196,7 @@
             _ => {}
         }
         let mut may_have_run = false;
-        for _ in 0..3 {
+        for _ in 0..self.attempts.get() {
             match self.allocate(&path, &id).await {
                 Came::Result(result) => {
                     match self.wrong {
@@ -199,25 +224,94 @@
 
     async fn answer(self: Rc<Self>, request: Request<Incoming>, line: Rc<Line>) -> Response<Lines> {
         let (path, id) = (request.uri().path().to_string(), request.headers().get("request-id").cloned());
+        let drained = self.called.lock().unwrap().drained && self.wrong != Wrong::StaysReadyWhileDrained;
+        if self.wrong == Wrong::DropsConnectionsUnread && self.left.get() {
+            line.cut(Cut::Reset);
+            std::future::pending().await
+        }
         let (status, body) = match (path.as_str(), id) {
-            ("/_health", _) => (if self.members.borrow().is_empty() { 503 } else { 200 }, Bytes::new()),
+            ("/_health", _) => {
+                (if drained || self.members.borrow().is_empty() { 503 } else { 200 }, Bytes::new())
+            }
+            (_, Some(_)) if drained => (503, Bytes::new()),
             (_, Some(id)) => {
                 let _ = request.into_body().collect().await;
-                self.work(path, id.to_str().unwrap().to_string(), line).await
+                self.clone().work(path, id.to_str().unwrap().to_string(), line).await
             }
             _ => (400, Bytes::new()),
         };
         let mut answer = Response::new(Lines::whole(body));
         *answer.status_mut() = StatusCode::from_u16(status).unwrap();
+        if drained || self.left.get() {
+            answer.headers_mut().insert("connection", "close".parse().unwrap());
+        }
+        answer
+    }
+
+    async fn called(self: Rc<Self>, request: Request<Incoming>) -> Response<Lines> {
+        let steps: Vec<&str> = request.uri().path().split('/').collect();
+        let mut called = self.called.lock().unwrap();
+        let status = match steps[..] {
+            _ if self.wrong == Wrong::AnswersNoCall => 500,
+            ["", "v1", "readyz"] => {
+                if self.members.borrow().is_empty() {
+                    503
+                } else {
+                    200
+                }
+            }
+            ["", "v1", "node", what] => {
+                called.drained = what == "drain";
+                200
+            }
+            ["", "v1", "executors", id, what] => {
+                match what {
+                    "suspend" => called.out.insert(id.to_string()),
+                    _ => called.out.remove(id),
+                };
+                200
+            }
+            _ => 404,
+        };
+        let mut answer = Response::new(Lines::whole(Bytes::new()));
+        *answer.status_mut() = StatusCode::from_u16(status).unwrap();
         answer
     }
+
+    /// Takes the attempts of a file, where it is whole.
+    fn reread(&self, config: &Path) {
+        let read = std::fs::read_to_string(config).unwrap();
+        let config: Value = serde_json::from_str(&read).unwrap();
+        let settings = &config["settings"];
+        if settings["contract"].is_object() || self.wrong == Wrong::TakesHalfOfABrokenFile {
+            self.attempts.set(settings["limits"]["max_allocations"].as_u64().unwrap());
+        }
+    }
 }
 
-impl Launch for Wrong {
-    fn start(&self, config: &Path, _own: Option<&Path>, _log: File) -> io::Result<Box<dyn Running>> {
-        let config: Value = serde_json::from_str(&std::fs::read_to_string(config)?)?;
-        let (stop, stopped) = oneshot::channel::<()>();
-        let wrong = *self;
+async fn serve_all<F, R>(listener: TcpListener, answer: F)
+where
+    F: Fn(Request<Incoming>, Rc<Line>) -> R + Clone + 'static,
+    R: Future<Output = Response<Lines>> + 'static,
+{
+    while let Ok((stream, _)) = listener.accept().await {
+        let (line, answer) = (Rc::new(Line::default()), answer.clone());
+        let own = line.clone();
+        spawn_local(wire::serve(stream, Rc::default(), line, move |request| answer(request, own.clone())));
+    }
+}
+
+impl Launch for Processes {
+    fn start(&self, start: Start) -> io::Result<Box<dyn Running>> {
+        let path = start.config.to_owned();
+        let config: Value = serde_json::from_str(&std::fs::read_to_string(&path)?)?;
+        let (ask, mut asked) = mpsc::unbounded_channel();
+        let wrong = self.wrong;
+        let called = match wrong {
+            Wrong::LosesBansOverAnUpgrade => Arc::default(),
+            _ => self.called.clone(),
+        };
+        let (management, passed) = (start.management, start.passed.map(|(socket, _)| socket));
         thread::spawn(move || {
             let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
             let addr = |name: &str| config[name].as_str().unwrap().parse::<SocketAddr>().unwrap();
@@ -229,34 +323,53 @@
                 ramp_ms: config["settings"]["contract"]["ramp_time"].as_f64().unwrap() / 1000.0,
                 members: RefCell::default(),
                 turn: RefCell::default(),
+                called,
+                attempts: Cell::new(3),
+                left: Cell::new(false),
             });
             LocalSet::new().block_on(&runtime, async move {
+                node.reread(&path);
                 spawn_local(node.clone().follow(addr("discovery")));
-                let listener = wire::listen(addr("listen")).unwrap();
-                let accept = async {
-                    while let Ok((stream, _)) = listener.accept().await {
-                        let (line, node) = (Rc::new(Line::default()), node.clone());
-                        let own = line.clone();
-                        spawn_local(wire::serve(stream, Rc::default(), line, move |request| {
-                            node.clone().answer(request, own.clone())
-                        }));
+                if let Some(management) = management {
+                    let node = node.clone();
+                    let listener = wire::listen(management).unwrap();
+                    spawn_local(serve_all(listener, move |request, _| node.clone().called(request)));
+                }
+                let listener = match passed {
+                    Some(socket) => {
+                        socket.set_nonblocking(true).unwrap();
+                        TcpListener::from_std(socket).unwrap()
                     }
+                    None => wire::listen(addr("listen")).unwrap(),
                 };
-                tokio::select! {
-                    () = accept => {}
-                    _ = stopped => {}
+                let answers = node.clone();
+                let accept = spawn_local(serve_all(listener, move |request, line| {
+                    answers.clone().answer(request, line)
+                }));
+                while let Some(what) = asked.recv().await {
+                    match what {
+                        Ask::Reread => node.reread(&path),
+                        Ask::End => {
+                            node.left.set(true);
+                            accept.abort();
+                        }
+                        Ask::Die => return,
+                    }
                 }
             });
         });
-        Ok(Box::new(Thread(Some(stop))))
+        Ok(Box::new(Thread(Some(ask))))
     }
 }
 
-struct Thread(Option<oneshot::Sender<()>>);
+struct Thread(Option<mpsc::UnboundedSender<Ask>>);
 
 impl Running for Thread {
     fn ask(&mut self, what: Ask) -> io::Result<()> {
-        if what != Ask::Reread {
+        if let Some(ask) = &self.0 {
+            let _ = ask.send(what);
+        }
+        if what == Ask::Die {
             self.0.take();
         }
         Ok(())
@@ -318,18 +431,63 @@
 every = "1s"
 "#;
 
-fn day(wrong: Wrong) -> Report {
-    let mut scenario = Scenario::parse(DAY, "mutants").unwrap();
+/// The same under the hands of operators: fewer attempts, an executor out over an upgrade, a broken file, a drain.
+const HANDS: &str = r#"
+[[events]]
+what = "retune-nodes"
+at = "100ms"
+attempts = 1
+[[events]]
+what = "suspend-executors"
+at = "300ms"
+group = "box"
+lasts = "4s"
+[[events]]
+what = "upgrade-node"
+at = "700ms"
+node = 0
+[[events]]
+what = "retune-nodes"
+at = "2400ms"
+attempts = 3
+broken = true
+[[events]]
+what = "drain-node"
+at = "4800ms"
+node = 0
+lasts = "4200ms"
+"#;
+
+fn day(wrong: Wrong, by_hand: bool) -> Report {
+    let text = if by_hand {
+        // Work breaks over the whole day, and no executor is replaced.
+        let first = DAY.split("[[events]]").next().unwrap();
+        let first = first.replace("to = \"1500ms\"", "to = \"9s\"").replace("2500ms", "9500ms");
+        first + HANDS
+    } else {
+        DAY.to_string()
+    };
+    let mut scenario = Scenario::parse(&text, "mutants").unwrap();
     if wrong == Wrong::IgnoresWarmth {
         scenario.traffic.get_mut().load = 0.9;
     }
     let folder = tempfile::tempdir().unwrap();
-    rehearse(&Arc::new(scenario), 3, Arc::new(wrong), folder.path(), Arc::new(Progress::default())).unwrap()
+    let launch = Arc::new(Processes { wrong, called: Arc::default() });
+    rehearse(&Arc::new(scenario), 3, launch, folder.path(), Arc::new(Progress::default())).unwrap()
 }
 
 #[test]
 fn each_wrong_host_is_named_by_what_is_wrong_with_it() {
     use Wrong::*;
+    let by_hand: &[(Wrong, &[(u8, &str)])] = &[
+        (Nothing, &[]),
+        (IgnoresBans, &[(3, "sent-to-banned")]),
+        (LosesBansOverAnUpgrade, &[(3, "sent-to-banned")]),
+        (DropsConnectionsUnread, &[(1, "ended-at-the-door")]),
+        (TakesHalfOfABrokenFile, &[(2, "too-many-allocations")]),
+        (StaysReadyWhileDrained, &[(1, "ready-while-drained"), (1, "taken-while-drained")]),
+        (AnswersNoCall, &[(3, "call-failed")]),
+    ];
     let cases: &[(Wrong, &[(u8, &str)])] = &[
         (Nothing, &[]),
         (AnswersLate, &[(1, "late-answer")]),
@@ -346,13 +504,16 @@
         (IgnoresWarmth, &[(4, "pushed-over")]),
     ];
     thread::scope(|all| {
-        for &(wrong, expected) in cases {
+        let cases = cases.iter().map(|case| (case, false)).chain(by_hand.iter().map(|case| (case, true)));
+        for (&(wrong, expected), by_hand) in cases {
             all.spawn(move || {
-                let report = day(wrong);
+                let report = day(wrong, by_hand);
                 let mut found: Vec<(u8, &str)> =
                     report.verdict.breaches.iter().map(|b| (b.rule, b.name)).collect();
                 found.sort_unstable();
                 found.dedup();
+                // Without an answered call there is no next process, and nothing else is judged.
+                found.retain(|(_, name)| wrong != AnswersNoCall || *name == "call-failed");
                 assert_eq!(found, expected, "{wrong:?}: {:#?}", report.verdict.breaches.first());
                 assert_eq!(report.verdict.fell_over > 0, wrong == IgnoresWarmth, "{wrong:?}");
                 assert!(report.verdict.all.requests > 100);
--- a/crates/simulation/src/experiment.rs
+++ b/crates/simulation/src/experiment.rs
@@ -250,6 +250,9 @@
                     Ok(scenario) if scenario.durable.is_some() => {
                         faults.push(format!("`{named}`: durable work is not simulated"));
                     }
+                    Ok(scenario) if scenario.is_operated() => {
+                        faults.push(format!("`{named}`: calls, upgrades and new settings are not simulated"));
+                    }
                     Ok(scenario) => {
                         scenarios.push(scenario);
                         for (policy_name, policy) in &policies {
--- a/crates/simulation/src/lib.rs
+++ b/crates/simulation/src/lib.rs
@@ -27,6 +27,8 @@
 pub enum Unable {
     #[error("durable work needs real nodes that die: rehearse it")]
     Durable,
+    #[error("calls, upgrades and new settings need real nodes: rehearse it")]
+    Operated,
     #[error("the scenario gives a node settings that cannot be used: {0}")]
     Values(String),
 }
@@ -85,6 +87,9 @@
     if scenario.durable.is_some() {
         return Err(Unable::Durable);
     }
+    if scenario.is_operated() {
+        return Err(Unable::Operated);
+    }
     let plan = Plan::draw(scenario, seed);
     let mut world = World::new(scenario, &plan, make).map_err(Unable::Values)?;
     world.play();
--- a/crates/simulation/src/world.rs
+++ b/crates/simulation/src/world.rs
@@ -794,6 +794,11 @@
                 }
             }
             Step::SilenceDiscovery { on } => self.silence(*on),
+            // Such days are not simulated: they need real nodes.
+            Step::LeaveOut { .. }
+            | Step::DrainNode { .. }
+            | Step::UpgradeNode { .. }
+            | Step::RetuneNodes { .. } => {}
             Step::TroubleDiscovery { how } => self.silence(how.is_some()),
             Step::RestartDiscovery => {
                 for node in 0..self.nodes.len() {
