Dropped executors are asked themselves; failing probes are no fault where work is served

Two kinds of symptom.

Where work was completed in the last 2 s a failed probe is no fault, probes are left out for a second, and the node's own work there stands in. It covers probes that come back wrong, late or never; it could harm for 2 s after an executor dies.

--- a/crates/hosting/src/naming.rs
+++ b/crates/hosting/src/naming.rs
@@ -16,6 +16,7 @@
     ("contract.ask_every", "rules.ask_every", Micros),
     ("contract.cold_share", "rules.cold_share", Number),
     ("contract.drain_grace", "rules.drain_grace", Micros),
+    ("contract.dropped_stay_open", "rules.gone_may_serve", Flag),
     ("contract.fall", "rules.fall", Micros),
     ("contract.fall_multiple", "rules.fall_multiple", Number),
     ("contract.ramp_time", "rules.ramp_time", Micros),
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -56,6 +56,11 @@
 const ASK_WITHIN: f64 = 0.7;
 /// What it gains to find all slots of an executor free and not none, in what a probe may cost.
 const EMPTIER: f64 = 60.0;
+/// Where only drains bind, an executor that the list dropped without one is drawn for so long.
+const SPARED: Millis = 30_000.0;
+/// An executor that has completed work so lately serves, whatever its probes say; they are left out for a while.
+const WORKED: Millis = 2000.0;
+const UNPROBED: Millis = 1000.0;
 
 struct ProjectType {
     effect: Effect,
@@ -120,6 +125,12 @@
     probe_out: Vec<bool>,
     /// What was pushed while cold: when, and how many slot-milliseconds.
     cold_spent: Vec<Vec<(Millis, f64)>>,
+    /// Until when one that the list dropped is still drawn, and when it last answered without a fault since.
+    spared: Vec<Millis>,
+    heard: Vec<Millis>,
+    /// When it last completed work, and until when its probes are left out as they fail all the same.
+    worked: Vec<Millis>,
+    unprobed: Vec<Millis>,
 }
 
 #[derive(Clone, Copy)]
@@ -218,6 +229,8 @@
     monitoring: Monitoring,
     following: Following,
     beside_until: Millis,
+    /// Whether only drains bind, and not that the list calls an executor gone.
+    gone_may_serve: bool,
     log: Vec<String>,
 }
 
@@ -262,6 +275,10 @@
             self.awaiting.push(Vec::new());
             self.probe_out.push(false);
             self.cold_spent.push(Vec::new());
+            self.spared.push(0.0);
+            self.heard.push(f64::NEG_INFINITY);
+            self.worked.push(f64::NEG_INFINITY);
+            self.unprobed.push(0.0);
         }
         if self.listed[e].started != entry.started {
             self.cold_spent[e].clear();
@@ -270,6 +287,11 @@
         self.listed[e] = *entry;
     }
 
+    fn is_ready(&self, e: usize, now: Millis) -> bool {
+        let phase = self.listed[e].phase;
+        phase == Phase::Healthy || (phase == Phase::Gone && now < self.spared[e])
+    }
+
     /// How long distrust stands, so that it outlives the time until the next meeting.
     fn fade(&self, now: Millis) -> Millis {
         let met_every =
@@ -280,6 +302,7 @@
     /// Something failed there. Guards against an executor that fails at once and that each of many nodes
     /// meets once in seconds: by the time it is met again, nothing would be left of what it did.
     fn fault(&mut self, e: usize, now: Millis) {
+        self.heard[e] = f64::NEG_INFINITY;
         self.add_distrust(e, now, (self.fade(now) / DISTRUST_FADE).min(MOST_FAULT));
     }
 
@@ -336,12 +359,14 @@
     /// The queue that a work unit would stand in, with the slots that it lacks there now; and the free slots.
     fn queue_for(&self, e: usize, now: Millis, slots: f64, reading: &Reading) -> (f64, f64) {
         let waiting = reading.queue.or(reading.held).unwrap_or(0.0);
-        let Some(free) = reading.free_slots else { return (waiting.round(), f64::INFINITY) };
-        // Guards against readings that come late or stand still: what this node has out there is there.
-        let part = if self.late { self.part } else { 1.0 };
+        let blind = self.late || *reading == Reading::default();
+        let free = reading.free_slots.or((blind && self.slots[e] > 0.0).then_some(0.0));
+        let Some(free) = free else { return (waiting.round(), f64::INFINITY) };
+        // Guards against readings that come late, stand still or are missing: what this node has out there is there.
+        let part = if blind { self.part } else { 1.0 };
         let own = (self.slots_of(e) * part).max(slots) - self.own_out[e];
-        let free = if self.late { own } else { (free - self.unseen(e, now)).min(own) };
-        let waiting = if self.late { 0.0 } else { waiting };
+        let free = if blind { own } else { (free - self.unseen(e, now)).min(own) };
+        let waiting = if blind { 0.0 } else { waiting };
         ((waiting + (slots - free).max(0.0)).round(), free)
     }
 }
@@ -369,6 +394,7 @@
             monitoring: Monitoring { draws: 2, at: now, ..Monitoring::default() },
             following: Following { ask_at, stood: false, failures: 0, ask_every: 0.0 },
             beside_until: 0.0,
+            gone_may_serve: false,
             log: Vec::new(),
         };
         this.retune(now, &values);
@@ -415,6 +441,7 @@
             multiple: values.number("rules.fall_multiple", 1.0),
             node: values.holds("node").then_some(values.number("node", 0.0) as u64),
         };
+        self.gone_may_serve = values.flag("rules.gone_may_serve");
         self.come_back_told = values.flag("limits.come_back_told");
         self.home = (values.number("prices.cross_place", 0.0) > 0.0)
             .then_some(PlaceId(values.number("place", 0.0) as u32));
@@ -527,12 +554,20 @@
     }
 
     fn on_list(&mut self, now: Millis, kind: ListKind, entries: &[Listing]) {
+        let before: Vec<Phase> = self.fleet.listed.iter().map(|l| l.phase).collect();
         if matches!(kind, ListKind::Whole | ListKind::Saved) {
             self.fleet.listed.iter_mut().for_each(|l| l.phase = Phase::Gone);
         }
         entries.iter().for_each(|entry| self.fleet.list(entry));
-        let healthy = self.fleet.listed.iter().filter(|l| l.phase == Phase::Healthy);
-        self.fleet.healthy = healthy.map(|l| l.executor).collect();
+        // Guards against a list that drops executors that serve: where only drains bind, they are asked.
+        for (e, was) in before.into_iter().enumerate() {
+            match (was, self.fleet.listed[e].phase) {
+                (Phase::Healthy, Phase::Gone) if self.gone_may_serve => self.fleet.spared[e] = now + SPARED,
+                (Phase::Draining, _) | (_, Phase::Draining) => self.fleet.spared[e] = 0.0,
+                _ => {}
+            }
+        }
+        self.list_ready(now);
         let heard = matches!(kind, ListKind::Whole | ListKind::Changes);
         self.following.stood |= heard;
         if heard && self.following.failures > 0 {
@@ -544,7 +579,7 @@
             let Some(w) = self.wus.get(&wu) else { continue };
             if let Wanted::Out(executor, _) = w.wanted
                 && w.allocs.iter().all(|a| a.outcome.is_some())
-                && self.fleet.listed[executor.0 as usize].phase != Phase::Healthy
+                && !self.fleet.is_ready(executor.0 as usize, now)
             {
                 self.fleet.own_change(executor.0 as usize, now, -w.slots);
                 self.draw(now, wu);
@@ -552,10 +587,18 @@
         }
     }
 
+    /// Who may be drawn.
+    fn list_ready(&mut self, now: Millis) {
+        let f = &self.fleet;
+        let ready = f.listed.iter().filter(|l| f.is_ready(l.executor.0 as usize, now)).map(|l| l.executor);
+        self.fleet.healthy = ready.collect();
+    }
+
     fn on_probed(&mut self, now: Millis, executor: ExecutorId, answer: Option<(Millis, Reading)>) {
         let e = executor.0 as usize;
         let Some(_) = self.fleet.listed.get(e) else { return };
         self.fleet.probe_out[e] = false;
+        let works = now - self.fleet.worked[e] < WORKED;
         if let Some((lag, reading)) = answer {
             let m = &mut self.monitoring;
             m.answers = (faded(m.answers, now, SPAN) + 1.0, now);
@@ -572,6 +615,15 @@
                 self.fleet.reading[e] = reading;
                 self.fleet.read_at[e] = now;
             }
+            // Guards against pushing over what died and came back with no list to tell of it: one that was
+            // dropped, and not heard of for half the span in which one falls, may be cold.
+            if self.fleet.listed[e].phase == Phase::Gone && now - self.fleet.heard[e] > self.cold.fall / 2.0 {
+                self.fleet.listed[e].started = Some(now);
+            }
+            self.fleet.heard[e] = now;
+        } else if works {
+            // Guards against probes that fail at executors that serve: they are no fault and cost only time.
+            self.fleet.unprobed[e] = now + UNPROBED;
         } else {
             self.fleet.fault(e, now);
         }
@@ -580,7 +632,8 @@
             if w.wanted != Wanted::Probed || w.probed == 0 || w.drawn[w.probed - 1] != executor {
                 continue;
             }
-            w.answers.extend(answer.map(|(_, reading)| (executor, reading)));
+            let reading = answer.map(|(_, reading)| reading).or(works.then(Reading::default));
+            w.answers.extend(reading.map(|reading| (executor, reading)));
             // With no queue, no crossing and no own work, those still to be probed could at best tie; else
             // what an emptier one would gain must be worth its price.
             let rank = answer.map(|(_, reading)| self.rank(now, &self.wus[&wu], executor, &reading));
@@ -603,6 +656,7 @@
             self.fleet.fault(e, now);
         }
         if outcome == Outcome::Completed {
+            (self.fleet.worked[e], self.fleet.heard[e]) = (now, now);
             // Guards against fresh executors that stay idle: that one is slow while it is cold says nothing
             // of how it does, and nothing of how much work a work unit is. Few nodes gain by going
             // elsewhere.
@@ -736,7 +790,7 @@
             Resend::Never => false,
             Resend::Like(other) => shares(&listed[e]) == shares(&listed[other.0 as usize]),
         };
-        let able = kind.only_kind.is_none_or(|k| k == listed[e].kind) && listed[e].phase == Phase::Healthy;
+        let able = kind.only_kind.is_none_or(|k| k == listed[e].kind) && self.fleet.is_ready(e, now);
         in_scope && able && self.cold_room(e, now) >= self.cost(w)
     }
 
@@ -823,6 +877,10 @@
         let Some(&executor) = w.drawn.get(w.probed) else { return self.choose(now, wu) };
         w.probed += 1;
         let e = executor.0 as usize;
+        if now < self.fleet.unprobed[e] {
+            w.answers.push((executor, Reading::default()));
+            return self.probe_next(now, wu);
+        }
         if !self.fleet.probe_out[e] && self.fleet.awaiting[e].is_empty() {
             self.probes_wanted.push(executor);
         }
@@ -878,7 +936,8 @@
         }
         if !answered && draws >= 2 {
             // No answer at all: one more draw, then one of the ready at random.
-            best.extend(self.pick(now, wu, &[]));
+            let any = self.pick(now, wu, &[]);
+            best.extend(any.filter(|x| self.fleet.listed[x.0 as usize].phase == Phase::Healthy));
         } else if answered && least.0 >= 0.5 && (draws >= 2 || self.room_is_short()) {
             // Every answer is long: one more draw, then a short hold, as what is in a queue cannot be moved.
             return self.hold(now, wu);
@@ -932,6 +991,7 @@
         let m = &mut self.monitoring;
         let Some(share) = m.waiting_share.filter(|_| now - m.at >= RECOMPUTE_EVERY) else { return };
         m.at = now;
+        self.list_ready(now);
         let more = |e: usize| self.warmth(e, now) < 1.0 && self.cold_part(e) * self.nodes > 1.0;
         let dealt = self.fleet.healthy.iter().copied().filter(|x| more(x.0 as usize)).collect();
         self.fleet.dealt = dealt;
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -768,3 +768,101 @@
     let (rerun, _) = node.pushed(0);
     assert_eq!(lost(&mut node, rerun), 'p', "a number keeps its terms");
 }
+
+/// Where only drains bind, a list that drops executors takes none from the draw that answers; one that has drained
+/// is never sent to again, one that was not heard of gets no more than a cold one, and all that is bounded in time.
+#[test]
+fn executors_that_a_list_drops_are_asked_themselves_where_only_drains_bind() {
+    let healthy = |e| listing(e, e, Phase::Healthy, None);
+    for (only_drains_bind, drained, silent, expected) in [
+        (false, false, 0.0, 0..=0),
+        (true, true, 0.0, 0..=0),
+        (true, false, 0.0, 40..=40),
+        (true, false, 5000.0, 1..=32),
+    ] {
+        let mut values = values_of(1.0, None);
+        values.insert("rules.gone_may_serve", Given::Flag(only_drains_bind));
+        let mut node = with(values);
+        node.now = 1000.0;
+        node.list(ListKind::Whole, &[healthy(0)]);
+        node.pushed(0);
+        if drained {
+            node.list(ListKind::Changes, &[listing(0, 0, Phase::Draining, None)]);
+        }
+        node.list(ListKind::Whole, &[]);
+        node.now += silent;
+        let pushes = |node: &mut Node| {
+            let mut pushed = 0;
+            for k in 0..40 {
+                node.now += 20.0;
+                let (wu, actions) = node.arrive(0);
+                let reading = |k| Reading {
+                    queue: Some(0.0),
+                    free_slots: Some(4.0 + k as f64 / 1e6),
+                    ..Reading::default()
+                };
+                let probed = |k| Event::Probed {
+                    executor: ExecutorId(0),
+                    answered: true,
+                    lag: 1.0,
+                    reading: reading(k),
+                };
+                let asked = actions.iter().any(|a| matches!(a, Action::Probe { .. }));
+                let actions = if asked { node.tell(probed(k)) } else { actions };
+                pushed += push_of(&actions).is_some() as u32;
+                node.tell(Event::Withdrawn { wu });
+            }
+            pushed
+        };
+        let pushed = pushes(&mut node);
+        assert!(expected.contains(&pushed), "{pushed} with {only_drains_bind} {drained} {silent}");
+        node.now += 30_000.0;
+        assert_eq!(pushes(&mut node), 0, "remembered no longer than that");
+        node.list(ListKind::Whole, &[healthy(0)]);
+        assert_eq!(pushes(&mut node), 40, "the true list is back");
+    }
+}
+
+/// Probes that fail at executors that serve are no fault, cost little, and what is out there stands in for them;
+/// at an executor that serves nothing they are a fault.
+#[test]
+fn probes_that_fail_where_work_is_served_are_no_fault() {
+    let mut node = node(1.0);
+    node.warm(4);
+    let (mut probes, mut sent) = (0, [0; 4]);
+    // All serve; the probes of 0 and 1 fail, at 3 nothing is served any more and its probes fail as well.
+    for round in 0..400 {
+        node.now += 10.0;
+        let (wu, mut actions) = node.arrive(0);
+        let mut to = None;
+        while let Some(action) = actions.pop() {
+            match action {
+                Action::Probe { executor } => {
+                    let answered = executor.0 == 2 || round < 40;
+                    probes += (round >= 200) as u32;
+                    let reading = if answered {
+                        Reading {
+                            queue: Some(0.0),
+                            free_slots: Some(4.0 + round as f64 / 1e6),
+                            ..Reading::default()
+                        }
+                    } else {
+                        Reading::default()
+                    };
+                    actions.extend(node.tell(Event::Probed { executor, answered, lag: 1.0, reading }));
+                }
+                Action::Push { executor, .. } => to = Some(executor),
+                _ => {}
+            }
+        }
+        let Some(to) = to else { continue };
+        sent[to.0 as usize] += (round >= 200) as u32;
+        let outcome = if to.0 == 3 && round >= 40 { Outcome::TimedOut } else { Outcome::Completed };
+        let actions = node.end(wu, 0, outcome);
+        node.answer(actions, |_| 0.0);
+        node.tell(Event::Withdrawn { wu });
+    }
+    assert!(sent[0] > 30 && sent[1] > 30, "they serve: {sent:?}");
+    assert!(sent[3] < sent[0] / 3, "it does not: {sent:?}");
+    assert!(probes < 300, "few probes that fail, {probes} for 200 work units");
+}
