Executors elsewhere are ready by a chance where crossing is priced

With d uniform draws among three or four places none of them is near four times in ten (let_through knew warmth and trust, and no place).

Where the settings price crossing, one elsewhere is ready by a chance of 0.3; what the near ones have no room for still goes there (tested). It covers slow and lossy ways between places, and could harm where one place has far less than its share.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -47,13 +47,13 @@
 const SPAN: Millis = 2000.0;
 const LEAST_SAVED: f64 = 3.0;
 const PICKS: usize = 40;
-/// From this smoothed share of answers with a queue on, room is short everywhere, also where none is held
-/// here.
+/// From this smoothed share of answers with a queue on, room is short everywhere, also where none is held.
 const SHORT_SHARE: f64 = 0.3;
-/// How far apart nodes that were not answered ask for the list, and the part of the span in which a node has
-/// to ask that all of them together take at most.
+/// How far apart nodes that were not answered ask for the list, and the part of the asking span they take.
 const ASK_APART: Millis = 100.0;
 const ASK_WITHIN: f64 = 0.7;
+/// Chance that an executor elsewhere is ready, where crossing is priced.
+const FAR: f64 = 0.3;
 /// What it gains to find all slots of an executor free and not none, in what a probe may cost.
 const EMPTIER: f64 = 60.0;
 /// Where only drains bind, an executor that the list dropped without one is drawn for so long.
@@ -802,7 +802,8 @@
         let e = executor.0 as usize;
         let warmth = self.warmth(e, now);
         let warmth = if self.shown_short() { warmth.sqrt() } else { warmth };
-        let chance = warmth * (-faded(self.fleet.failed[e], now, self.fleet.fade(now))).exp();
+        let far = if self.home.is_some_and(|home| self.fleet.listed[e].place != home) { FAR } else { 1.0 };
+        let chance = far * warmth * (-faded(self.fleet.failed[e], now, self.fleet.fade(now))).exp();
         chance > 0.98 || self.rng.random::<f64>() < chance
     }
 
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -866,3 +866,34 @@
     assert!(sent[3] < sent[0] / 3, "it does not: {sent:?}");
     assert!(probes < 300, "few probes that fail, {probes} for 200 work units");
 }
+
+/// Where crossing is priced the near ones are drawn far more often, and those elsewhere still are: they take over
+/// what the near ones have no room for.
+#[test]
+fn executors_elsewhere_are_drawn_less_where_crossing_is_priced() {
+    for (price, near_full, least, most) in
+        [(0.0, false, 0.35, 0.65), (0.03, false, 0.02, 0.3), (0.03, true, 1.0, 1.0)]
+    {
+        let mut values = values_of(1.0, None);
+        values.insert("prices.cross_place", Given::Number(price));
+        values.insert("place", Given::Number(0.0));
+        let mut node = with(values);
+        let at = |e: u32| Listing { place: PlaceId(e % 2), ..listing(e, e, Phase::Healthy, None) };
+        node.list(ListKind::Whole, &(0..40).map(at).collect::<Vec<_>>());
+        let queue = |e: u32| if near_full && e.is_multiple_of(2) { 3.0 } else { 0.0 };
+        let (mut sent, mut far) = (0, 0);
+        for _ in 0..60 {
+            node.now += 5.0;
+            let (wu, actions) = node.arrive(0);
+            if let Some(to) = push_of(&node.answer(actions, queue)) {
+                (sent, far) = (sent + 1, far + to.0 % 2);
+            }
+            node.tell(Event::Withdrawn { wu });
+        }
+        let share = far as f64 / sent as f64;
+        assert!(
+            sent > 20 && (least..=most).contains(&share),
+            "{far} of {sent} at {price}, near full: {near_full}"
+        );
+    }
+}
