--- a/crates/daemon/tests/operation.rs
+++ b/crates/daemon/tests/operation.rs
@@ -447,3 +447,73 @@
     drop(new);
     [own, ledger].iter().for_each(|file| std::fs::remove_file(file).unwrap());
 }
+
+#[test]
+fn both_processes_together_keep_to_the_descriptors_also_where_the_old_one_held_all() {
+    let (executors, discovery) = two_executors();
+    let platform = Platform::new();
+    let old = platform.start(&discovery);
+    let descriptors = |of: &Operated| {
+        std::fs::read_dir(format!("/proc/{}/fd", of.node.process.id())).map_or(0, |all| all.count())
+    };
+    // As many clients as it takes, each of which has been served.
+    let mut held = Vec::new();
+    for _ in 0..256 {
+        let mut connection = platform.connect();
+        let (status, (head, _)) = ask(&mut connection, work("render", &new_id(), 9.0, ""));
+        if status != 200 || field(&head, "connection").is_some() {
+            break;
+        }
+        held.push(connection);
+    }
+    assert!(held.len() > 50, "{} are held", held.len());
+    let new = platform.start(&discovery);
+    let most = |what: &str| {
+        let sum = descriptors(&old) + descriptors(&new);
+        assert!(sum <= 256, "{sum} descriptors {what}");
+    };
+    most("beside each other");
+    old.node.logged("the next process takes clients");
+    for connection in &mut held {
+        let (status, (head, _)) = ask(connection, work("render", &new_id(), 9.0, ""));
+        assert_eq!((status, field(&head, "connection")), (200, Some("close")));
+        most("while clients move");
+    }
+    drop(held);
+    used_by(&platform, &executors);
+    most("after they moved");
+    old.node.terminate();
+    assert!(old.node.logged("ended with").contains("ended with 0"));
+}
+
+#[test]
+fn a_drain_while_starting_holds_and_sighup_reaches_both_processes() {
+    let (executors, discovery) = two_executors();
+    // Nobody is there to tell the list, so the start takes a second.
+    let mut silent = config(&discovery, settings());
+    silent["discovery"] = json!("127.0.0.1:9");
+    let node = Node::start_from(silent, |path| launch_with(path, "info", "", |_| ()));
+    let line = node.logged("operators call at ");
+    let calls = line.split("operators call at ").nth(1).unwrap().trim().parse().unwrap();
+    let starting = Operated { node, calls };
+    assert_eq!((starting.call("GET", "/v1/readyz"), starting.call("PUT", "/v1/node/drain")), (503, 200));
+    starting.node.logged("no word from the list yet");
+    assert_eq!(starting.health(), 503, "drained since before it was ready");
+    assert_eq!(starting.call("PUT", "/v1/node/activate"), 200);
+    until("it takes clients", || starting.health() == 200);
+
+    let platform = Platform::new();
+    let (old, new) = (platform.start(&discovery), platform.start(&discovery));
+    old.node.logged("the next process takes clients");
+    for process in [&old, &new] {
+        let mut config = process.node.config.clone();
+        config["settings"] = types(&[("render", "safe", 20), ("thumb", "safe", 2)], 2);
+        process.node.reread(&config.to_string());
+        process.node.logged("settings are new");
+    }
+    assert_eq!(ask(&mut platform.connect(), work("thumb", &new_id(), 1.0, "")).0, 200);
+    assert_eq!(ask(&mut platform.connect(), work("publish", &new_id(), 1.0, "")).0, 404);
+    old.node.terminate();
+    assert!(old.node.logged("ended with").contains("ended with 0"));
+    used_by(&platform, &executors);
+}
