--- a/crates/daemon/tests/operation.rs
+++ b/crates/daemon/tests/operation.rs
@@ -517,3 +517,33 @@
     assert!(old.node.logged("ended with").contains("ended with 0"));
     used_by(&platform, &executors);
 }
+
+#[test]
+fn a_drain_ends_what_drips_and_sees_durable_work_through() {
+    let (executor, discovery) = one_executor();
+    let folder = Platform::new();
+    let file = |end: &str| format!("{}.{end}", folder.folder.display());
+    let (own, ledger) = (file("toml"), file("ledger"));
+    std::fs::write(&own, format!("[durable]\npath = \"{ledger}\"\n")).unwrap();
+    let operated = Operated::start(&discovery, |program| _ = program.env("TROUTKNOT_FILE", &own));
+    let (mut idle, mut drips, mut open) =
+        (operated.node.connect(), operated.node.connect(), operated.node.connect());
+    assert_eq!(ask(&mut idle, work("render", &new_id(), 3.0, "")).0, 200);
+    executor.acts.lock().unwrap().push_back(Act::Wait);
+    open.get_mut().write_all(work("publish", &new_id(), 20.0, "").as_bytes()).unwrap();
+    executor.wait_for(2);
+    let request = work("render", &new_id(), 3.0, "abc");
+    let (first, rest) = request.split_at(request.len() - 1);
+    assert_eq!(operated.call("PUT", "/v1/node/drain"), 200);
+    drips.get_mut().write_all(first.as_bytes()).unwrap();
+    assert_eq!(idle.read(&mut [0]).unwrap(), 0, "what is idle closes once the drain has settled");
+    let (status, (head, _)) = ask(&mut drips, rest);
+    assert_eq!((status, field(&head, "connection")), (503, Some("close")), "it came too late: {head}");
+    executor.go_on.send(()).unwrap();
+    let (status, (head, _)) = answer(&mut open);
+    assert_eq!((status, field(&head, "connection")), (200, Some("close")), "what was taken is seen through");
+    assert_eq!(operated.call("PUT", "/v1/node/activate"), 200);
+    assert_eq!(operated.node.ask(work("publish", &new_id(), 3.0, "")).0, 200);
+    drop(operated);
+    [own, ledger].iter().for_each(|file| std::fs::remove_file(file).unwrap());
+}
