After the last read: a panic on kinds of too many types, and bytes of a process that has gone

Catalogue::take named a project type that is not there in its error, and so panicked, where class_kind lists more kinds than there are project types and one of them does not exist; what stands beyond the list is skipped, as before. What the other process held stayed counted against this one's bytes where it was killed while it held some: Handover::go_on now clears it. What is handed over is refused with a negative figure or nothing of work, which stood as a mean running time of 0. Found by reading; the first and last have a case each that failed before.

--- a/crates/daemon/src/handover/form.rs
+++ b/crates/daemon/src/handover/form.rs
@@ -135,7 +135,10 @@
                 _ => Err("it does not say which form it speaks".into()),
             };
         }
-        let number = |n: f64| if n.is_finite() { Ok(n) } else { Err("a figure is not finite".to_string()) };
+        let number = |n: f64| match n.is_finite() && n >= 0.0 {
+            true => Ok(()),
+            false => Err(format!("{n} stands where a figure of 0 or more does")),
+        };
         match message {
             Message::Out { executors } => self.out.extend(executors),
             Message::Drained { drained, .. } => self.drained = drained,
@@ -148,13 +151,14 @@
                 for known in &executors {
                     let spent = known.cold_spent.iter().flat_map(|&(at, work)| [at, work]);
                     let one = [known.failed.0, known.failed.1, known.judged.0, known.judged.1, known.slots];
-                    one.into_iter().chain(spent).try_for_each(|n| number(n).map(|_| ()))?;
+                    one.into_iter().chain(spent).try_for_each(number)?;
                 }
                 self.executors.extend(executors);
             }
             Message::Work(work) => {
                 let of_types = work.types.iter().flat_map(|&(_, run, seen)| [run, seen]);
-                of_types.chain([work.mean_run]).try_for_each(|n| number(n).map(|_| ()))?;
+                let more = [Some(work.mean_run), work.waiting_share, work.lag].into_iter().flatten();
+                of_types.chain(more).try_for_each(number)?;
                 self.work = Some(work);
             }
             // What changed while it was telling.
@@ -165,6 +169,7 @@
                     self.out.remove(&executor);
                 }
             }
+            Message::Told if self.work.is_none() => return Err("it tells nothing of work".into()),
             Message::Told => return Ok(true),
             _ => {}
         }
@@ -225,7 +230,8 @@
     #[test]
     fn what_is_cut_odd_or_of_another_form_is_not_taken() {
         let later = r#"{"say":"weather","rain":true}"#;
-        assert!(all(&[HELLO, later, TOLD]).unwrap().is_some(), "more in the same form is skipped");
+        assert!(all(&[HELLO, later, FROZEN[6], TOLD]).unwrap().is_some(), "more in the same form is skipped");
+        let negative = FROZEN[6].replace("110.0", "-1.0");
         assert!(all(&FROZEN[..FROZEN.len() - 1]).unwrap().is_none(), "cut off before its end");
         let many = r#"{"say":"out","executors":["1","2","3","4"]}"#;
         for (lines, part) in [
@@ -236,6 +242,8 @@
             (&[HELLO, &FROZEN[3][..40]], "no message"),
             (&[HELLO, r#"{"say":"ids","ids":[-1]}"#], "no message"),
             (&[HELLO, r#"{"say":"executors","executors":[{"id":"s-1"}]}"#], "no message"),
+            (&[HELLO, TOLD], "nothing of work"),
+            (&[HELLO, &negative], "-1 stands where"),
             (&[HELLO, many], "tells 4 of something, at most 3"),
         ] {
             let why = all(lines).expect_err(part);
--- a/crates/daemon/src/handover/mod.rs
+++ b/crates/daemon/src/handover/mod.rs
@@ -278,6 +278,8 @@
         };
         tracing::debug!("the other process is gone: {why}");
         self.beside.unlink();
+        // What it held has gone with it, however it ended.
+        self.clients.held.set_elsewhere(0);
         let _ = self.events.send(Event::Beside(false)).await;
     }
 
--- a/crates/hosting/src/catalogue.rs
+++ b/crates/hosting/src/catalogue.rs
@@ -145,6 +145,8 @@
         let mut terms: Vec<BTreeMap<String, Given>> = vec![BTreeMap::new(); type_names.len()];
         for (name, given) in said.iter() {
             if let Some((k, term)) = numbered(name, TYPES) {
+                // What stands beside the list of project types may name more of them.
+                let Some(terms) = terms.get_mut(k) else { continue };
                 let given = match (term, given) {
                     ("only_kind", Given::Number(kind)) if *kind >= 0.0 => {
                         let kind = kinds.get(*kind as usize).ok_or_else(|| {
@@ -154,8 +156,7 @@
                     }
                     _ => given.clone(),
                 };
-                // What the settings say beside their list of project types may name more of them.
-                terms.get_mut(k).map(|terms| terms.insert(term.to_string(), given));
+                terms.insert(term.to_string(), given);
             } else if let Some((k, rest)) = numbered(name, CUSTOMERS) {
                 if let Some(number) = customers_in_force.get(k) {
                     customers.insert(format!("{CUSTOMERS}.{number}.{rest}"), given.clone());
@@ -336,6 +337,15 @@
         let limit = "/project_types/1/hard_limit";
         for (what, file, part) in [
             ("empty", json!({}), "`project_types` names none"),
+            (
+                "no such kind",
+                {
+                    let mut f = good.clone();
+                    f["family_info"] = json!({"class_kind": [-1, 9]});
+                    f
+                },
+                "`b`: there is no kind 9",
+            ),
             ("no project types", with("/project_types", json!([])), "names none"),
             ("no limit", without("/project_types/1", "hard_limit"), "`b`: `hard_limit` is missing"),
             ("no effect", without("/project_types/1", "effect"), "`b`: `effect` is missing"),
@@ -366,6 +376,9 @@
             assert_eq!(adopted.types_in_force, [0, 1], "{what}: what was in force stays");
             assert_eq!(adopted.customers, ["c"]);
         }
+        let mut more = good.clone();
+        more["family_info"] = json!({"class_kind": [-1, -1, 9]});
+        assert!(Catalogue::default().adopt(map(&more)).is_ok(), "of a third that is not there");
         let mut catalogue = Catalogue::default();
         let many = |n: usize| settings(&[("a", "safe", 5000 + n as i64)], 3.into());
         (0..MOST).for_each(|n| _ = catalogue.adopt(map(&many(n))).unwrap());
