Two processes of a node keep to one memory; a short core and a ban under a connect are tested

Need: both processes of an upgrade were each bounded alone, so that bodies that come in pieces, rings and what is known of executors added up to more than the memory. Change: what is held for slow bodies and in clients' rings is told to the other process as held bytes were (an earlier release that does not say it is read as holding none), and where a socket is passed the list, an answer of Consul and the executors known are smaller; the test of the limits counts both processes.

Tests by the real process: 20 calls answered within a second on a fifth of a processor at the limit of clients with 40 silent callers; a ban that comes while an allocation is connecting to an executor whose queue of connections is full (caught: the select on the grace taken out); 80 bodies that drip over an upgrade (caught: the other's bodies not counted).

--- a/crates/daemon/src/clients/mod.rs
+++ b/crates/daemon/src/clients/mod.rs
@@ -2,7 +2,10 @@
 use crate::durable::{Durable, Found, Joint};
 use crate::events::Event;
 use crate::exchange::{Answer, Exchange, Work};
-use crate::handover::{Beside, form::Message};
+use crate::handover::{
+    Beside,
+    form::{Holds, Message},
+};
 use crate::held::HeldBytes;
 use crate::http1::{self, Connection, Failed};
 use crate::limits::Limits;
@@ -16,7 +19,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{Notify, Semaphore, mpsc, watch};
+use tokio::sync::{Notify, mpsc, watch};
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 use troutknot::WuId;
 
@@ -33,8 +36,9 @@
     /// Another process of this node, if one runs.
     beside: Rc<Beside>,
     pub held: Rc<HeldBytes>,
-    rings: Rc<HeldBytes>,
-    slow_bodies: Semaphore,
+    pub rings: Rc<HeldBytes>,
+    /// For bodies that do not come whole with their heads, each counted as the largest.
+    pub slow_bodies: Rc<HeldBytes>,
     /// Ids of open work units, and of those that are over.
     ids: RefCell<HashSet<String>>,
     past: RefCell<PastIds>,
@@ -120,7 +124,7 @@
             status,
             held: HeldBytes::new(limits.held_bytes),
             rings: HeldBytes::new(limits.client_rings),
-            slow_bodies: Semaphore::new(limits.slow_bodies),
+            slow_bodies: HeldBytes::new(limits.slow_bodies * limits.body),
             ids: RefCell::default(),
             past: RefCell::new(PastIds {
                 newer: HashSet::new(),
@@ -151,6 +155,13 @@
         ids.iter().for_each(|id| _ = past.take(*id, &self.limits));
     }
 
+    /// What another process of this node holds of what both may hold together.
+    pub fn set_elsewhere(&self, holds: Holds) {
+        self.held.set_elsewhere(holds.bytes);
+        self.rings.set_elsewhere(holds.rings);
+        self.slow_bodies.set_elsewhere(holds.slow_bodies);
+    }
+
     /// Clients that this process may serve beside what another one of the node has open.
     fn most(&self) -> usize {
         self.limits.clients.saturating_sub(self.beside.other().clients)
@@ -405,7 +416,7 @@
         let whole = connection.body_so_far(&mut head.body, &mut body, most);
         if !whole.map_err(|bad| Some(bad.status()))? {
             // Guards against many that send long bodies at leisure; most come whole with their heads.
-            let _slow = self.slow_bodies.try_acquire().map_err(|_| Some(503))?;
+            let _slow = self.slow_bodies.hold(most).ok_or(Some(503))?;
             if head.asks_first {
                 connection.write(&[http1::GO_ON]).await.map_err(|_| None)?;
             }
--- a/crates/daemon/src/driver.rs
+++ b/crates/daemon/src/driver.rs
@@ -358,6 +358,7 @@
                 open.pushed = Some((executor, decided));
                 let (exchange, stop) = (open.exchange.clone(), open.stop.clone());
                 let name = exchange.durable.get().map(|_| self.numbers.name(executor).to_string());
+                tracing::debug!("push: alloc {} to {}", alloc.0, self.numbers.name(executor));
                 let push = Push { exchange, executor, name, alloc, decided, cut, stop };
                 tokio::task::spawn_local(self.executors.clone().allocate(push));
             }
--- a/crates/daemon/src/handover/form.rs
+++ b/crates/daemon/src/handover/form.rs
@@ -74,6 +74,11 @@
     pub clients: usize,
     pub executors: usize,
     pub bytes: usize,
+    /// In clients' rings beyond their first size, and for bodies on their way; an earlier release says neither.
+    #[serde(default)]
+    pub rings: usize,
+    #[serde(default)]
+    pub slow_bodies: usize,
 }
 
 /// What does not fit into one line goes into several; at least one.
--- a/crates/daemon/src/handover/mod.rs
+++ b/crates/daemon/src/handover/mod.rs
@@ -279,7 +279,7 @@
         tracing::debug!("the other process is gone: {why}");
         self.beside.unlink();
         // What it held has gone with it, however it ended.
-        self.clients.held.set_elsewhere(0);
+        self.clients.set_elsewhere(Holds::default());
         let _ = self.events.send(Event::Beside(false)).await;
     }
 
@@ -290,6 +290,8 @@
                 clients: self.clients.connections(),
                 executors: self.executors.connections(),
                 bytes: self.clients.held.held(),
+                rings: self.clients.rings.held(),
+                slow_bodies: self.clients.slow_bodies.held(),
             };
             if holds != told {
                 told = holds;
@@ -326,7 +328,7 @@
             Message::Ids { ids } => self.clients.taken_elsewhere(&ids),
             Message::Holds(holds) => {
                 self.beside.other.set(holds);
-                self.clients.held.set_elsewhere(holds.bytes);
+                self.clients.set_elsewhere(holds);
             }
             Message::Ready if older => {
                 tracing::info!("the next process takes clients from now on");
--- a/crates/daemon/src/held.rs
+++ b/crates/daemon/src/held.rs
@@ -37,4 +37,20 @@
     pub fn give_back(&self, n: usize) {
         self.held.set(self.held.get() - n);
     }
+
+    /// Holds so many until what is returned is dropped; none where they do not fit.
+    pub fn hold(self: &Rc<Self>, n: usize) -> Option<Hold> {
+        self.take(n).then(|| Hold { of: self.clone(), n })
+    }
+}
+
+pub struct Hold {
+    of: Rc<HeldBytes>,
+    n: usize,
+}
+
+impl Drop for Hold {
+    fn drop(&mut self) {
+        self.of.give_back(self.n);
+    }
 }
--- a/crates/daemon/src/limits.rs
+++ b/crates/daemon/src/limits.rs
@@ -163,6 +163,13 @@
         // Where Consul's answers need room, work has less of it.
         let of =
             |usual: usize, beside_consul: usize| memory / if stated.consul { beside_consul } else { usual };
+        // Two processes at once keep the list and what is known of executors twice, and all else between them.
+        let slow_bodies = match (stated.passed, stated.consul || stated.durable) {
+            (false, _) => memory / 16,
+            (true, false) => memory / 20,
+            (true, true) => memory / 32,
+        };
+        let an_answer = if stated.passed { 16 } else { 9 };
         let executors = (connections / 3).min(of(4, 8) / (2 * body)).max(2);
         let clients = connections - turned_away - executors;
         Limits {
@@ -170,13 +177,13 @@
             ring,
             client_rings: of(12, 16),
             body,
-            slow_bodies: memory / 16 / body,
+            slow_bodies: slow_bodies / body,
             // Beside another process of this node what each keeps in mind is there twice.
             held_bytes: if stated.durable || stated.passed { of(12, 18) } else { of(6, 12) },
             durable: memory / 14 / DURABLE_BYTES,
             list_line: (memory / 32).min(8 * 1024 * 1024),
-            list_answer: (memory / 9).min(12 * 1024 * 1024),
-            known: of(12_288, 9600),
+            list_answer: (memory / an_answer).min(12 * 1024 * 1024),
+            known: if stated.passed { memory / 16_000 } else { of(12_288, 9600) },
             clients,
             turned_away,
             backlog: 1024,
@@ -209,20 +216,22 @@
 #[test]
 fn connections_and_memory_stay_within_what_is_stated() {
     let sizes = [(192, 1024), (16, 64), (64, 100_000), (2048, 4096), (32, 1024), (48, 1024), (0, 0)];
-    let each = |size| [(false, false), (true, false), (false, true), (true, true)].map(|with| (size, with));
-    for ((memory_mb, sockets), (consul, durable)) in sizes.into_iter().flat_map(each) {
-        let l = Limits::of(&Stated { memory_mb, sockets, consul, durable, ..Stated::default() });
+    let each = |size| (0..8).map(move |with| (size, [1, 2, 4].map(|bit| with & bit != 0)));
+    for ((memory_mb, sockets), [consul, durable, passed]) in sizes.into_iter().flat_map(each) {
+        let l = Limits::of(&Stated { memory_mb, sockets, consul, durable, passed, ..Stated::default() });
         let connections = l.clients + l.turned_away + l.executors;
         assert!(connections as u64 + SPARE <= sockets.max(64), "{l:?}");
         // Open work units, bodies on their way in, results; rings; ids, a list, and the executors known.
         let bodies = l.held_bytes + 2 * l.slow_bodies * l.body + 2 * l.executors * l.body;
-        let clients_rings = (l.clients + l.turned_away) * 2 * FIRST + l.client_rings;
-        let rings = clients_rings + (l.executors * l.ring + l.callers * l.call_ring) * 2;
-        let held = bodies
-            + rings
-            + l.past_ids * 24
-            + if durable { l.durable * DURABLE_BYTES } else { 0 }
+        let clients_rings = l.clients * 2 * FIRST + l.client_rings;
+        let rings = clients_rings + l.executors * l.ring * 2;
+        // What each of two processes keeps for itself; the ledger is held by one of them.
+        let own = l.past_ids * 24
+            + l.callers * l.call_ring * 2
+            + l.turned_away * 2 * FIRST
             + if consul { l.list_answer + l.known * 1600 } else { l.list_line + l.known * 640 };
+        let ledger = if durable { l.durable * DURABLE_BYTES } else { 0 };
+        let held = bodies + rings + ledger + if passed { 2 * own } else { own };
         assert!(held <= memory_mb.max(16) as usize * 1024 * 1024 * 9 / 10, "{held} {l:?}");
         assert!(l.clients > 0 && l.turned_away > 0 && l.executors > 0);
     }
--- a/crates/daemon/tests/operation.rs
+++ b/crates/daemon/tests/operation.rs
@@ -3,13 +3,16 @@
 
 use command_fds::{CommandFdExt, FdMapping};
 use common::*;
+use rustix::process::Pid;
+use rustix::thread::{CpuSet, sched_getaffinity, sched_setaffinity};
 use serde_json::{Value, json};
 use std::collections::BTreeSet;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::os::unix::net::{UnixListener, UnixStream};
 use std::path::PathBuf;
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::sync::{Arc, mpsc};
 use std::time::{Duration, Instant};
 use troutknot_emulator::scripted::{Act, Discovery, Executor};
 
@@ -94,6 +97,145 @@
     assert_eq!(operated.say("what\r\n\r\n"), 400);
 }
 
+/// Keeps one processor busy beside what else runs there.
+fn spin(on: CpuSet, until: Arc<AtomicBool>) -> std::thread::JoinHandle<()> {
+    std::thread::spawn(move || {
+        sched_setaffinity(None, &on).unwrap();
+        while !until.load(Ordering::Relaxed) {
+            std::hint::spin_loop();
+        }
+    })
+}
+
+#[test]
+fn a_caller_is_answered_within_a_second_while_the_core_is_short_and_the_node_full() {
+    let (_executors, discovery) = two_executors();
+    let operated = Operated::start(&discovery, |_| ());
+    // A fifth of a processor at most, and as many connections as there may be.
+    let all = sched_getaffinity(None).unwrap();
+    let first = (0..CpuSet::MAX_CPU).find(|&cpu| all.is_set(cpu)).unwrap();
+    let mut one = CpuSet::new();
+    one.set(first);
+    sched_setaffinity(Pid::from_raw(operated.node.process.id() as i32), &one).unwrap();
+    let done: Arc<AtomicBool> = Arc::default();
+    let mut busy: Vec<_> = (0..4).map(|_| spin(one, done.clone())).collect();
+    let addr = operated.node.addr;
+    let _crowd: Vec<_> = (0..256).filter_map(|_| TcpStream::connect(addr).ok()).collect();
+    let (worked, served) = mpsc::channel();
+    for _ in 0..8 {
+        let (done, worked) = (done.clone(), worked.clone());
+        busy.push(std::thread::spawn(move || {
+            while !done.load(Ordering::Relaxed) {
+                let Ok(stream) = TcpStream::connect(addr) else { continue };
+                let mut connection = BufReader::new(stream);
+                let request = work("render", &new_id(), 3.0, "");
+                while connection.get_mut().write_all(request.as_bytes()).is_ok()
+                    && message(&mut connection).is_some_and(|(head, _)| !head.contains("close"))
+                    && worked.send(()).is_ok()
+                    && !done.load(Ordering::Relaxed)
+                {}
+            }
+        }));
+    }
+    served.recv_timeout(PATIENCE).expect("clients are served");
+    let _silent: Vec<_> = (0..40).map(|_| TcpStream::connect(operated.calls).unwrap()).collect();
+    let mut slowest = Duration::ZERO;
+    for (method, path) in [
+        ("GET", "/v1/readyz"),
+        ("PUT", "/v1/executors/s-1/suspend"),
+        ("PUT", "/v1/executors/s-1/resume"),
+        ("PUT", "/v1/node/activate"),
+    ]
+    .repeat(5)
+    {
+        let asked = Instant::now();
+        assert_eq!(operated.call(method, path), 200, "{path}");
+        slowest = slowest.max(asked.elapsed());
+    }
+    done.store(true, Ordering::Relaxed);
+    assert!(slowest < Duration::from_secs(1), "a caller waited {slowest:?}");
+    busy.into_iter().for_each(|thread| thread.join().unwrap());
+}
+
+/// An executor with room for so few connections that the one for an allocation comes up only when the test says
+/// so: it answers the first probe, and takes no further connection until then.
+struct Crowded {
+    addr: SocketAddr,
+    go_on: mpsc::Sender<()>,
+    /// What came over connections after that.
+    came: std::thread::JoinHandle<Vec<u8>>,
+}
+
+impl Crowded {
+    fn start() -> Self {
+        let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+        socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).unwrap();
+        socket.listen(0).unwrap();
+        let listener = TcpListener::from(socket);
+        let addr = listener.local_addr().unwrap();
+        let (go_on, wait) = mpsc::channel();
+        let fill = move || -> Vec<TcpStream> {
+            let wait = Duration::from_millis(100);
+            std::iter::from_fn(|| TcpStream::connect_timeout(&addr, wait).ok()).collect()
+        };
+        let came = std::thread::spawn(move || {
+            let (probe, _) = listener.accept().unwrap();
+            let mut probe = BufReader::new(probe);
+            message(&mut probe).expect("a probe");
+            let crowd = fill();
+            let load = "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 12\r\n\r\nqueue=0,x0=8";
+            probe.get_mut().write_all(load.as_bytes()).unwrap();
+            drop(probe);
+            wait.recv().unwrap();
+            drop(crowd);
+            // Who was in the crowd says nothing; then comes the one that was connecting, or it has given up.
+            listener.set_nonblocking(true).unwrap();
+            let (end, mut bytes) = (Instant::now() + Duration::from_secs(4), Vec::new());
+            while Instant::now() < end {
+                if let Ok((mut stream, _)) = listener.accept() {
+                    stream.set_nonblocking(false).unwrap();
+                    stream.set_read_timeout(Some(Duration::from_secs(2))).unwrap();
+                    let _ = stream.read_to_end(&mut bytes);
+                }
+                std::thread::yield_now();
+            }
+            bytes
+        });
+        Crowded { addr, go_on, came }
+    }
+}
+
+#[test]
+fn a_ban_reaches_an_allocation_that_is_still_connecting() {
+    let (executor, crowded) = (Executor::start(), Crowded::start());
+    let named = |name: &str, addr: SocketAddr| {
+        let addr = addr.to_string();
+        json!({"id": name, "addr": addr, "zone": "z", "kind": "k", "cell": 0, "state": "Ready"})
+    };
+    let discovery = Discovery::start(list(7, true, &[named("s-1", crowded.addr)]));
+    let mut config = config(&discovery, settings());
+    // A connection may take longer than the grace; its first try is repeated after a second.
+    config["settings"]["limits"]["connect_timeout"] = json!(10_000_000);
+    let node = Node::start_from(config, |path| launch_with(path, "debug", "", |_| ()));
+    let line = node.logged("operators call at ");
+    let calls = line.split("operators call at ").nth(1).unwrap().trim().parse().unwrap();
+    let operated = Operated { node, calls };
+    until("it is ready", || operated.call("GET", "/v1/readyz") == 200);
+    let mut client = operated.node.connect();
+    client.get_mut().write_all(work("render", &new_id(), 9.0, "").as_bytes()).unwrap();
+    operated.node.logged("push: alloc 0 to s-1");
+    discovery.lines.send(list(8, false, &[named("s-2", executor.addr)])).unwrap();
+    operated.node.logged("listed: s-2");
+    assert_eq!(operated.call("PUT", "/v1/executors/s-1/suspend"), 200);
+    // It was never sent, so it goes elsewhere once the grace nears its end.
+    operated.node.logged("NotSent");
+    assert_eq!(answer(&mut client).0, 200);
+    assert_eq!(executor.seen.lock().unwrap().len(), 1);
+    crowded.go_on.send(()).unwrap();
+    let came = crowded.came.join().unwrap();
+    assert!(came.is_empty(), "it is out: {}", String::from_utf8_lossy(&came));
+}
+
 #[test]
 fn an_executor_that_is_out_gets_nothing_whatever_the_list_says() {
     let (executors, discovery) = two_executors();
@@ -486,6 +628,44 @@
     assert!(old.node.logged("ended with").contains("ended with 0"));
 }
 
+#[test]
+fn both_processes_together_hold_no_more_bodies_that_drip_than_one_may() {
+    let (executors, discovery) = two_executors();
+    let platform = Platform::new();
+    let old = platform.start(&discovery);
+    let mut kept: Vec<_> = (0..80).map(|_| platform.connect()).collect();
+    for connection in &mut kept {
+        assert_eq!(ask(connection, work("render", &new_id(), 9.0, "")).0, 200);
+    }
+    let new = platform.start(&discovery);
+    old.node.logged("the next process takes clients");
+    // Of each body half comes, which is waited for; where there are too many the node says so at once.
+    let drip = |connection: &mut BufReader<TcpStream>| {
+        let request = work("render", &new_id(), 9.0, "half");
+        connection.get_mut().write_all(&request.as_bytes()[..request.len() - 2]).unwrap();
+        connection.get_ref().set_read_timeout(Some(Duration::from_millis(5))).unwrap();
+    };
+    let turned_away = |connection: &mut BufReader<TcpStream>| {
+        message(connection).is_some_and(|(head, _)| head.starts_with("HTTP/1.1 503"))
+    };
+    kept.iter_mut().for_each(drip);
+    until("the new one counts what the old one holds", || {
+        let mut connection = platform.connect();
+        drip(&mut connection);
+        turned_away(&mut connection)
+    });
+    let away = kept.iter_mut().filter_map(|c| turned_away(c).then_some(())).count();
+    assert!((10..70).contains(&away), "{away} of 80 were turned away by the old one");
+    used_by(&platform, &executors);
+    drop(kept);
+    until("they are gone from the old one", || {
+        let mut connection = platform.connect();
+        drip(&mut connection);
+        !turned_away(&mut connection)
+    });
+    assert_eq!((old.call("GET", "/v1/readyz"), new.health()), (200, 200));
+}
+
 #[test]
 fn a_drain_while_starting_holds_and_sighup_reaches_both_processes() {
     let (executors, discovery) = two_executors();
