Keys reach the module and lead to one executor; late readings leave no slot to chance

While readings are late no slot is left to chance, as own work alone tells of room; the mode lasts 15 s.

--- a/crates/daemon/src/driver.rs
+++ b/crates/daemon/src/driver.rs
@@ -124,6 +124,7 @@
                     wu: exchange.wu,
                     project_type: work.project_type,
                     customer: work.customer,
+                    key: work.about,
                     slots: work.slots,
                     memory: work.memory,
                     left,
--- a/crates/daemon/src/durable/mod.rs
+++ b/crates/daemon/src/durable/mod.rs
@@ -389,6 +389,7 @@
             body: Bytes::copy_from_slice(&sent.body),
             project_type,
             customer,
+            about: None,
             slots: sent.slots,
             memory: sent.memory,
             again: true,
--- a/crates/wirehost/src/decode.rs
+++ b/crates/wirehost/src/decode.rs
@@ -1,7 +1,7 @@
 //! The wire's events as they stand on a line, borrowed from it.
 use serde::{Deserialize, Deserializer};
 use std::borrow::Cow;
-use troutknot::WuId;
+use troutknot::{KeyId, WuId};
 
 pub fn parse<'a, T: Deserialize<'a>>(line: &'a [u8]) -> Result<T, String> {
     serde_json::from_slice(line).map_err(|e| e.to_string().replace(" at line 1 column ", ", column "))
@@ -33,6 +33,11 @@
     u64::from_str_radix(&text, 16).map(WuId).map_err(serde::de::Error::custom)
 }
 
+fn key<'de, D: Deserializer<'de>>(d: D) -> Result<Option<KeyId>, D::Error> {
+    let text = Option::<Cow<str>>::deserialize(d)?;
+    Ok(text.filter(|text| text.len() <= 16).and_then(|text| u64::from_str_radix(&text, 16).ok()).map(KeyId))
+}
+
 #[derive(Deserialize)]
 pub struct Begin {
     pub time: u64,
@@ -110,6 +115,9 @@
     pub account: Option<u32>,
     #[serde(default)]
     pub retry: Option<bool>,
+    /// Absent where it is no key: it only guides.
+    #[serde(default, deserialize_with = "key")]
+    pub affinity: Option<KeyId>,
     pub priority: u32,
 }
 
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -3,6 +3,9 @@
 //! How to call it: `Dispatcher::new(values, seed, now)`, then `tell(now, event)` for each event of a moment
 //! and one `emit(now, &mut actions)` after them. `tell` only changes what is wanted; `emit` alone works out
 //! the difference to what is out, held and timed. The interface (events, actions, ids) stands in `terms.rs`.
+mod learned;
+mod retune;
+
 use crate::terms::*;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -22,7 +25,7 @@
 const READING_LIFE: Millis = 500.0;
 /// Readings count as late from this share of answers that lack own work, and for so long after.
 const LATE_SHARE: f64 = 0.02;
-const LATE_FOR: Millis = 5000.0;
+const LATE_FOR: Millis = 15_000.0;
 /// Traffic is uneven, so a node takes up to so many times its even part of what all share.
 const UNEVEN: f64 = 2.0;
 /// Distrust fades by this time constant; a running time over the usual adds so much of its logarithm to it.
@@ -49,6 +52,8 @@
 const PICKS: usize = 40;
 /// From this smoothed share of answers with a queue on, room is short everywhere, also where none is held.
 const SHORT_SHARE: f64 = 0.3;
+/// Points of an executor on the ring of keys: so many make its parts about even.
+const RING_POINTS: u64 = 32;
 /// How far apart nodes that were not answered ask for the list, and the part of the asking span they take.
 const ASK_APART: Millis = 100.0;
 const ASK_WITHIN: f64 = 0.7;
@@ -101,6 +106,8 @@
     least_slots: f64,
     /// The healthy ones: who may be drawn.
     healthy: Vec<ExecutorId>,
+    /// Points of these on a ring that is the same at every node, in order.
+    ring: Vec<(u64, ExecutorId)>,
     /// The cold ones of them of whose budget this node holds more than an even part.
     dealt: Vec<ExecutorId>,
     reading: Vec<Reading>,
@@ -157,6 +164,7 @@
     slots: f64,
     /// Beyond its customer's share.
     over: bool,
+    key: Option<KeyId>,
     /// When the client first asked, for an earlier try perhaps.
     asked: Millis,
     limit: Millis,
@@ -239,6 +247,13 @@
     if score == 0.0 { 0.0 } else { score * (-(now - at) / fade).exp() }
 }
 
+/// Spreads numbers evenly (the finalizer of splitmix64).
+fn mixed(mut z: u64) -> u64 {
+    z = (z ^ (z >> 30)).wrapping_mul(0xbf58476d1ce4e5b9);
+    z = (z ^ (z >> 27)).wrapping_mul(0x94d049bb133111eb);
+    z ^ (z >> 31)
+}
+
 /// The mean time in the system of the ESM formula, in units of the mean running time; none where ρ reaches 1.
 pub fn time_in_system(draws: u32, load: f64, cost: f64) -> Option<f64> {
     let d = draws as f64;
@@ -287,6 +302,16 @@
         self.listed[e] = *entry;
     }
 
+    fn ring_of_ready(&self) -> Vec<(u64, ExecutorId)> {
+        let points = |x: &ExecutorId| {
+            let (token, x) = (self.listed[x.0 as usize].token, *x);
+            (0..RING_POINTS).map(move |k| (mixed(token ^ mixed(k)), x))
+        };
+        let mut ring: Vec<_> = self.healthy.iter().flat_map(points).collect();
+        ring.sort_unstable();
+        ring
+    }
+
     fn is_ready(&self, e: usize, now: Millis) -> bool {
         let phase = self.listed[e].phase;
         phase == Phase::Healthy || (phase == Phase::Gone && now < self.spared[e])
@@ -401,54 +426,6 @@
         this
     }
 
-    /// Takes settings. A work unit keeps the project type that it came with, and so all terms of it: those that
-    /// are known stay as they are, and only further ones are read.
-    pub fn retune(&mut self, now: Millis, values: &NamedValues) {
-        while values.holds(&format!("project_types.{}.hard_limit", self.types.len())) {
-            let own = |name: &str| format!("project_types.{}.{name}", self.types.len());
-            let number = |name: &str| values.number(&own(name), 0.0);
-            let kind = values.number(&own("only_kind"), -1.0);
-            let like = self.types.get(values.number(&own("like"), f64::INFINITY) as usize);
-            let most_allocs = values.number("limits.most_allocations", 1.0);
-            self.types.push(ProjectType {
-                effect: Effect::named(values.text(&own("effect"))),
-                scope: RepeatScope::named(values.text(&own("repeat_scope"))),
-                window: number("window"),
-                turnaround: number("promised_turnaround"),
-                stretch: number("stretch"),
-                limit: number("hard_limit"),
-                credit: number("credit"),
-                only_kind: (kind >= 0.0).then_some(MachineKindId(kind as u32)),
-                most_allocs: values.number(&own("most_allocations"), most_allocs) as usize,
-                run: like.map_or(number("promised_turnaround"), |like| like.run),
-                runs_seen: like.map_or(0.0, |like| like.runs_seen),
-            });
-        }
-        self.nodes = values.number("nodes", 1.0).max(1.0);
-        self.fleet.part = (UNEVEN / self.nodes).min(1.0);
-        let share = |k: usize| format!("customers.{k}.share_per_s");
-        let named = (0..).take_while(|&k| values.holds(&share(k))).count();
-        self.shares.resize_with(named, || Share { left: f64::INFINITY, at: now, per_ms: 0.0 });
-        for (k, of) in self.shares.iter_mut().enumerate() {
-            of.per_ms = values.number(&share(k), 0.0) * self.fleet.part / 1000.0;
-        }
-        self.credit_over = values.number("credit_over_share", 1.0);
-        self.by_work = values.text("credit_by") == "work";
-        self.cold = ColdRule {
-            share: values.number("rules.cold_share", 1.0),
-            ramp: values.number("rules.ramp_time", 0.0),
-            fall: values.number("rules.fall", 0.0),
-            multiple: values.number("rules.fall_multiple", 1.0),
-            node: values.holds("node").then_some(values.number("node", 0.0) as u64),
-        };
-        self.gone_may_serve = values.flag("rules.gone_may_serve");
-        self.come_back_told = values.flag("limits.come_back_told");
-        self.home = (values.number("prices.cross_place", 0.0) > 0.0)
-            .then_some(PlaceId(values.number("place", 0.0) as u32));
-        self.monitoring.price = values.number("prices.probe", 0.0);
-        self.following.ask_every = values.number("rules.ask_every", 10_000.0);
-    }
-
     /// Takes in one event; what follows from it is emitted by the next `emit`.
     pub fn tell(&mut self, now: Millis, event: Event) {
         match event {
@@ -466,13 +443,14 @@
                 f.ask_at = now + wait;
                 self.log.push(format!("list lost: failure {}, asking in {wait:.0} ms", f.failures));
             }
-            Event::Arrived { wu, project_type, customer, slots, left, again, .. } => {
+            Event::Arrived { wu, project_type, customer, key, slots, left, again, .. } => {
                 let project_type = project_type.0 as usize;
                 if project_type < self.types.len() && !self.wus.contains_key(&wu) {
                     let wanted = Wu {
                         project_type,
                         slots: slots.max(1.0),
                         over: self.over_share(now, customer, again),
+                        key,
                         asked: now + left - self.types[project_type].limit.max(left),
                         limit: now + left,
                         wake: f64::INFINITY,
@@ -511,37 +489,6 @@
         }
     }
 
-    /// What a process of this node after this one goes on from.
-    pub fn learned(&self, now: Millis) -> Learned {
-        let (f, m) = (&self.fleet, &self.monitoring);
-        let spent = |e: usize| f.cold_spent[e].iter().copied().filter(|&(at, _)| at >= now - self.cold.fall);
-        let of = |x: &Listing| {
-            let e = x.executor.0 as usize;
-            let (failed, judged, slots) = (f.failed[e], f.judged[e], f.slots[e]);
-            LearnedExecutor { executor: x.executor, failed, judged, slots, cold_spent: spent(e).collect() }
-        };
-        let (mean_run, waiting_share, lag, draws) = (f.mean_run, m.waiting_share, m.lag, m.draws);
-        let executors = f.listed.iter().filter(|l| l.phase != Phase::Gone).map(of).collect();
-        let runs = self.types.iter().map(|kind| (kind.run, kind.runs_seen)).collect();
-        Learned { executors, runs, mean_run, waiting_share, lag, draws }
-    }
-
-    fn on_learned(&mut self, learned: Learned) {
-        let (f, m) = (&mut self.fleet, &mut self.monitoring);
-        for l in learned.executors {
-            let e = l.executor.0 as usize;
-            if e < f.listed.len() {
-                (f.failed[e], f.judged[e], f.slots[e], f.cold_spent[e]) =
-                    (l.failed, l.judged, l.slots, l.cold_spent);
-            }
-        }
-        for (kind, (run, seen)) in self.types.iter_mut().zip(learned.runs).filter(|(_, run)| run.1 > 0.0) {
-            (kind.run, kind.runs_seen) = (run, seen);
-        }
-        (f.mean_run, m.waiting_share, m.lag) = (learned.mean_run, learned.waiting_share, learned.lag);
-        m.draws = learned.draws.clamp(2, MOST_DRAWS);
-    }
-
     /// Whether this work unit is beyond its customer's share; a client that asks again is not counted twice.
     fn over_share(&mut self, now: Millis, customer: CustomerId, again: bool) -> bool {
         let Some(share) = self.shares.get_mut(customer.0 as usize) else { return false };
@@ -592,6 +539,7 @@
         let f = &self.fleet;
         let ready = f.listed.iter().filter(|l| f.is_ready(l.executor.0 as usize, now)).map(|l| l.executor);
         self.fleet.healthy = ready.collect();
+        self.fleet.ring.clear();
     }
 
     fn on_probed(&mut self, now: Millis, executor: ExecutorId, answer: Option<(Millis, Reading)>) {
@@ -807,6 +755,23 @@
         chance > 0.98 || self.rng.random::<f64>() < chance
     }
 
+    /// The executor that a key leads all nodes to, the first ready one on the ring from there. Where it has what
+    /// work of this key needs, that work is shorter there, and no node has to know who had it last.
+    fn pick_by_key(&mut self, now: Millis, wu: WuId, but: &[ExecutorId]) -> Option<ExecutorId> {
+        let from = mixed(self.wus.get(&wu)?.key?.0);
+        if self.fleet.ring.is_empty() {
+            self.fleet.ring = self.fleet.ring_of_ready();
+        }
+        let first = self.fleet.ring.partition_point(|&(point, _)| point < from);
+        for k in 0..self.fleet.ring.len().min(PICKS) {
+            let x = self.fleet.ring[(first + k) % self.fleet.ring.len()].1;
+            if !but.contains(&x) && self.allowed(now, self.wus.get(&wu)?, x) && self.let_through(now, x) {
+                return Some(x);
+            }
+        }
+        None
+    }
+
     /// One ready executor, each with the same chance. Where chance lets none through in so many picks, all
     /// that are allowed are ready; those that `but` names come only where there is no other.
     fn pick(&mut self, now: Millis, wu: WuId, but: &[ExecutorId]) -> Option<ExecutorId> {
@@ -857,8 +822,8 @@
         self.recompute_draws(now);
         // Where room is short everywhere: one draw, for each probe is priced.
         let draws = if self.room_is_short() { 1 } else { self.monitoring.draws };
-        let mut drawn: Vec<ExecutorId> = Vec::with_capacity(draws as usize);
-        for _ in 0..draws {
+        let mut drawn: Vec<ExecutorId> = self.pick_by_key(now, wu, &but).into_iter().collect();
+        for _ in drawn.len() as u32..draws {
             drawn.extend(self.pick(now, wu, &but).filter(|x| !drawn.contains(x)));
         }
         if drawn.is_empty() { self.hold(now, wu) } else { self.probe(now, wu, drawn) }
@@ -927,9 +892,10 @@
             }
         }
         let (draws, answered) = (w.draws, !best.is_empty());
-        if answered && least.0 < 0.5 {
+        if answered && least.0 < 0.5 && !self.fleet.late {
             // Guards against the herd of all nodes on one reading: with as many of them as have seen it, each
-            // takes what it shows free by a chance that lets about that much through.
+            // takes what it shows free by a chance that lets about that much through. Not where readings are
+            // late: own work alone tells of room there, which no other node sees.
             let free = -least.2 * self.fleet.slots_of(best[0].0 as usize);
             if self.rng.random::<f64>() * self.others_at_a_reading(now) * w.slots > free {
                 least.0 = 1.0;
--- a/src/terms.rs
+++ b/src/terms.rs
@@ -28,6 +28,10 @@
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub struct PlaceId(pub u32);
 
+/// What a work unit is about, as a number that stands for it at every node alike.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Debug)]
+pub struct KeyId(pub u64);
+
 /// Machines of one kind share a size and a typical speed.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub struct MachineKindId(pub u32);
@@ -218,6 +222,8 @@
         wu: WuId,
         project_type: ProjectTypeId,
         customer: CustomerId,
+        /// Where work units have one; those that bear one key belong together.
+        key: Option<KeyId>,
         slots: f64,
         memory: f64,
         left: Millis,
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -82,7 +82,8 @@
         let (now, wu, executor) = (node.now, WuId(77), ExecutorId(9));
         let (customer, slots, memory) = (CustomerId(0), 1.0, 0.0);
         let project_type = ProjectTypeId(*project_type);
-        let arrived = Event::Arrived { wu, project_type, customer, slots, memory, left: 900.0, again: true };
+        let arrived =
+            Event::Arrived { wu, project_type, customer, key: None, slots, memory, left: 900.0, again: true };
         node.node.tell(now, arrived);
         for (number, outcome) in earlier.iter().enumerate() {
             node.node.tell(now, Event::Recovered { wu, executor, sent: now - 50.0 });
@@ -897,3 +898,66 @@
         );
     }
 }
+
+/// A key leads every node to the same executor while there is room, to the same next one where that drains or is
+/// full, and keys spread over all.
+#[test]
+fn work_of_one_key_meets_at_one_executor_from_every_node() {
+    let by_key = |gone: Option<u32>, full: Option<u32>, key: Option<u64>| {
+        let to = (0..30u64).map(|seed| {
+            let mut node = with_seed(values_of(30.0, Some(seed as f64)), seed);
+            let phase = |e| if gone == Some(e) { Phase::Draining } else { Phase::Healthy };
+            let entries: Vec<Listing> = (0..12).map(|e| listing(e, e, phase(e), None)).collect();
+            node.list(ListKind::Whole, &entries);
+            let (_, actions) = node.arrive_by(0, 0, key);
+            let actions = node.answer(actions, |e| if full == Some(e) { 3.0 } else { 0.0 });
+            push_of(&actions).expect("there is room").0
+        });
+        let mut to: Vec<u32> = to.collect();
+        to.sort();
+        to.dedup();
+        to
+    };
+    let mut homes = Vec::new();
+    for key in 0..100 {
+        let home = by_key(None, None, Some(key));
+        assert_eq!(home.len(), 1, "key {key}: {home:?}");
+        let next = by_key(Some(home[0]), None, Some(key));
+        assert!(next.len() == 1 && next != home, "key {key} once its home drains: {next:?}");
+        // Where the home is full, chance decides, and it is not the home.
+        let others = by_key(None, Some(home[0]), Some(key));
+        assert!(!others.contains(&home[0]), "key {key} where its home is full: {others:?}");
+        homes.push(home[0]);
+    }
+    let at = |e: u32| homes.iter().filter(|&&home| home == e).count();
+    assert!((0..12).all(|e| (1..25).contains(&at(e))), "{homes:?}");
+    assert!(by_key(None, None, None).len() > 5, "without a key all are drawn");
+}
+
+/// Own work tells of room where readings are late, so no slot is left to other nodes by chance there: most work
+/// still goes out while this node's part has room, though nearly every reading shows a queue.
+#[test]
+fn late_readings_leave_no_slot_to_chance() {
+    let mut node = node(20.0);
+    node.warm(40);
+    let (mut out, mut sent, mut late) = (0, 0, false);
+    for k in 0..900 {
+        node.now += 10.0;
+        let (wu, actions) = node.arrive(1);
+        let actions = node.answer(actions, |e| if e % 8 == 0 { 0.0 } else { 1.0 });
+        for action in &actions {
+            late = matches!(action, Action::Log(line) if line.starts_with("readings late: true")) || late;
+        }
+        match push_of(&actions) {
+            // The first few stay out, and no reading shows them.
+            Some(executor) if executor.0 % 8 == 0 && out < 3 => out += 1,
+            Some(_) => {
+                sent += (k >= 700) as u32;
+                node.end(wu, 0, Outcome::Completed);
+            }
+            None => _ = node.tell(Event::Withdrawn { wu }),
+        }
+    }
+    assert!(late, "readings are known to be late");
+    assert!(sent > 150, "{sent} of 200 are sent");
+}
