--- a/src/rules.rs
+++ b/src/rules.rs
@@ -54,6 +54,8 @@
 const SHORT_SHARE: f64 = 0.3;
 /// Points of an executor on the ring of keys: so many make its parts about even.
 const RING_POINTS: u64 = 32;
+/// Waiting rooms are small where executors turn away over this share of the allocations.
+const SMALL_ROOMS: f64 = 0.04;
 /// How far apart nodes that were not answered ask for the list, and the part of the asking span they take.
 const ASK_APART: Millis = 100.0;
 const ASK_WITHIN: f64 = 0.7;
@@ -123,6 +125,8 @@
     late_share: f64,
     late: bool,
     late_until: Millis,
+    /// Smoothed share of own allocations that were turned away as full.
+    full_share: f64,
     /// Own outcomes of late, fading, and when that was counted.
     met: (f64, Millis),
     /// This node's part of what all share.
@@ -603,6 +607,8 @@
         if !matches!(outcome, Outcome::Completed | Outcome::NotSent | Outcome::Cancelled) {
             self.fleet.fault(e, now);
         }
+        let full = if outcome == Outcome::Full { 1.0 } else { 0.0 };
+        self.fleet.full_share += RUN_WEIGHT * (full - self.fleet.full_share);
         if outcome == Outcome::Completed {
             (self.fleet.worked[e], self.fleet.heard[e]) = (now, now);
             // Guards against fresh executors that stay idle: that one is slow while it is cold says nothing
@@ -892,24 +898,26 @@
             }
         }
         let (draws, answered) = (w.draws, !best.is_empty());
-        if answered && least.0 < 0.5 && !self.fleet.late {
+        // Guards against work deferred in front of executors that hardly queue any: where many turn away what
+        // they cannot start, a queue of one is the longest that may be met. Where queues grow it stays shut.
+        let small = !self.fleet.late && self.fleet.full_share > SMALL_ROOMS;
+        let mut long = least.0 >= if small { 1.5 } else { 0.5 };
+        if answered && !long && !small && !self.fleet.late {
             // Guards against the herd of all nodes on one reading: with as many of them as have seen it, each
             // takes what it shows free by a chance that lets about that much through. Not where readings are
             // late: own work alone tells of room there, which no other node sees.
             let free = -least.2 * self.fleet.slots_of(best[0].0 as usize);
-            if self.rng.random::<f64>() * self.others_at_a_reading(now) * w.slots > free {
-                least.0 = 1.0;
-            }
+            long = self.rng.random::<f64>() * self.others_at_a_reading(now) * w.slots > free;
         }
         if !answered && draws >= 2 {
             // No answer at all: one more draw, then one of the ready at random.
             let any = self.pick(now, wu, &[]);
             best.extend(any.filter(|x| self.fleet.listed[x.0 as usize].phase == Phase::Healthy));
-        } else if answered && least.0 >= 0.5 && (draws >= 2 || self.room_is_short()) {
+        } else if answered && long && (draws >= 2 || self.room_is_short()) {
             // Every answer is long: one more draw, then a short hold, as what is in a queue cannot be moved.
             return self.hold(now, wu);
         }
-        if best.is_empty() || (answered && least.0 >= 0.5) {
+        if best.is_empty() || (answered && long) {
             return self.draw(now, wu);
         }
         let executor = best[self.rng.random_range(0..best.len())];
