Slow probes hold up nobody and still count; ways that are long for a node are drawn less

Change: a probe is waited for by what quick ones take, then the next one drawn is asked and the earlier answer still counts; where nobody has answered and ways differ, what is usual is waited for once.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -5,10 +5,12 @@
 //! the difference to what is out, held and timed. The interface (events, actions, ids) stands in `terms.rs`.
 mod learned;
 mod retune;
+mod ring;
 
 use crate::terms::*;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
+use ring::Ring;
 use std::collections::{BTreeSet, HashMap, VecDeque};
 
 /// Weight of one answer in the smoothed share of executors with work waiting: about the last hundred answers.
@@ -52,10 +54,10 @@
 const PICKS: usize = 40;
 /// From this smoothed share of answers with a queue on, room is short everywhere, also where none is held.
 const SHORT_SHARE: f64 = 0.3;
-/// Points of an executor on the ring of keys: so many make its parts about even.
-const RING_POINTS: u64 = 32;
 /// Waiting rooms are small where executors turn away over this share of the allocations.
 const SMALL_ROOMS: f64 = 0.04;
+/// A way is long from this part of the shortest promised turnaround on.
+const LONG_WAY: f64 = 0.1;
 /// How far apart nodes that were not answered ask for the list, and the part of the asking span they take.
 const ASK_APART: Millis = 100.0;
 const ASK_WITHIN: f64 = 0.7;
@@ -108,8 +110,8 @@
     least_slots: f64,
     /// The healthy ones: who may be drawn.
     healthy: Vec<ExecutorId>,
-    /// Points of these on a ring that is the same at every node, in order.
-    ring: Vec<(u64, ExecutorId)>,
+    /// These on a ring; made anew when a key asks for it.
+    ring: Ring,
     /// The cold ones of them of whose budget this node holds more than an even part.
     dealt: Vec<ExecutorId>,
     reading: Vec<Reading>,
@@ -142,6 +144,8 @@
     /// When it last completed work, and until when its probes are left out as they fail all the same.
     worked: Vec<Millis>,
     unprobed: Vec<Millis>,
+    /// How long its last probe's answer took, and when that was.
+    way: Vec<(Millis, Millis)>,
 }
 
 #[derive(Clone, Copy)]
@@ -199,6 +203,9 @@
     /// Answers of late, fading, and when that was counted.
     answers: (f64, Millis),
     lag: Option<Millis>,
+    /// What the quicker ones take, and what is long for work that wants to be done soon.
+    quick_lag: Option<Millis>,
+    long_way: Millis,
     price: f64,
 }
 
@@ -251,13 +258,6 @@
     if score == 0.0 { 0.0 } else { score * (-(now - at) / fade).exp() }
 }
 
-/// Spreads numbers evenly (the finalizer of splitmix64).
-fn mixed(mut z: u64) -> u64 {
-    z = (z ^ (z >> 30)).wrapping_mul(0xbf58476d1ce4e5b9);
-    z = (z ^ (z >> 27)).wrapping_mul(0x94d049bb133111eb);
-    z ^ (z >> 31)
-}
-
 /// The mean time in the system of the ESM formula, in units of the mean running time; none where ρ reaches 1.
 pub fn time_in_system(draws: u32, load: f64, cost: f64) -> Option<f64> {
     let d = draws as f64;
@@ -298,6 +298,7 @@
             self.heard.push(f64::NEG_INFINITY);
             self.worked.push(f64::NEG_INFINITY);
             self.unprobed.push(0.0);
+            self.way.push((0.0, f64::NEG_INFINITY));
         }
         if self.listed[e].started != entry.started {
             self.cold_spent[e].clear();
@@ -306,16 +307,6 @@
         self.listed[e] = *entry;
     }
 
-    fn ring_of_ready(&self) -> Vec<(u64, ExecutorId)> {
-        let points = |x: &ExecutorId| {
-            let (token, x) = (self.listed[x.0 as usize].token, *x);
-            (0..RING_POINTS).map(move |k| (mixed(token ^ mixed(k)), x))
-        };
-        let mut ring: Vec<_> = self.healthy.iter().flat_map(points).collect();
-        ring.sort_unstable();
-        ring
-    }
-
     fn is_ready(&self, e: usize, now: Millis) -> bool {
         let phase = self.listed[e].phase;
         phase == Phase::Healthy || (phase == Phase::Gone && now < self.spared[e])
@@ -420,7 +411,7 @@
             probes_wanted: Vec::new(),
             wakes: BTreeSet::new(),
             wake_set: f64::INFINITY,
-            monitoring: Monitoring { draws: 2, at: now, ..Monitoring::default() },
+            monitoring: Monitoring { draws: 2, at: now, long_way: f64::INFINITY, ..Monitoring::default() },
             following: Following { ask_at, stood: false, failures: 0, ask_every: 0.0 },
             beside_until: 0.0,
             gone_may_serve: false,
@@ -554,8 +545,11 @@
         if let Some((lag, reading)) = answer {
             let m = &mut self.monitoring;
             m.answers = (faded(m.answers, now, SPAN) + 1.0, now);
+            self.fleet.way[e] = (lag, now);
             let usual = m.lag.get_or_insert(lag);
             *usual += 0.05 * (lag - *usual);
+            let quick = m.quick_lag.get_or_insert(lag);
+            *quick += if lag < *quick { 0.2 } else { 0.01 } * (lag - *quick);
             let waiting = if reading.queue.unwrap_or(0.0) >= 0.5 { 1.0 } else { 0.0 };
             let share = m.waiting_share.get_or_insert(0.25);
             *share += ANSWER_WEIGHT * (waiting - *share);
@@ -581,9 +575,9 @@
         }
         for wu in std::mem::take(&mut self.fleet.awaiting[e]) {
             let Some(w) = self.wus.get_mut(&wu) else { continue };
-            if w.wanted != Wanted::Probed || w.probed == 0 || w.drawn[w.probed - 1] != executor {
-                continue;
-            }
+            let asked = w.drawn.iter().take(w.probed).position(|x| *x == executor);
+            let Some(nth) = asked.filter(|_| w.wanted == Wanted::Probed) else { continue };
+            let last = nth + 1 >= w.probed || w.probed > w.drawn.len();
             let reading = answer.map(|(_, reading)| reading).or(works.then(Reading::default));
             w.answers.extend(reading.map(|reading| (executor, reading)));
             // With no queue, no crossing and no own work, those still to be probed could at best tie; else
@@ -591,7 +585,11 @@
             let rank = answer.map(|(_, reading)| self.rank(now, &self.wus[&wu], executor, &reading));
             let roomy = |r: (f64, bool, f64)| (1.0 - EMPTIER * self.monitoring.price..=1.0).contains(&-r.2);
             let best = rank.is_some_and(|r| r.0 < 0.5 && !r.1 && (self.fleet.own_out[e] < 0.5 || roomy(r)));
-            if best { self.choose(now, wu) } else { self.probe_next(now, wu) }
+            if best {
+                self.choose(now, wu)
+            } else if last {
+                self.probe_next(now, wu)
+            }
         }
     }
 
@@ -607,7 +605,7 @@
         if !matches!(outcome, Outcome::Completed | Outcome::NotSent | Outcome::Cancelled) {
             self.fleet.fault(e, now);
         }
-        let full = if outcome == Outcome::Full { 1.0 } else { 0.0 };
+        let full = f64::from(outcome == Outcome::Full);
         self.fleet.full_share += RUN_WEIGHT * (full - self.fleet.full_share);
         if outcome == Outcome::Completed {
             (self.fleet.worked[e], self.fleet.heard[e]) = (now, now);
@@ -757,6 +755,11 @@
         let warmth = self.warmth(e, now);
         let warmth = if self.shown_short() { warmth.sqrt() } else { warmth };
         let far = if self.home.is_some_and(|home| self.fleet.listed[e].place != home) { FAR } else { 1.0 };
+        // Guards against executors that are slow to reach for this node alone, which no queue shows: each work
+        // unit pays their way twice, for the probe and for itself.
+        let (way, at) = self.fleet.way[e];
+        let slow = way > self.monitoring.long_way && now - at < LONGEST_FADE;
+        let far = if slow { far * FAR } else { far };
         let chance = far * warmth * (-faded(self.fleet.failed[e], now, self.fleet.fade(now))).exp();
         chance > 0.98 || self.rng.random::<f64>() < chance
     }
@@ -764,13 +767,13 @@
     /// The executor that a key leads all nodes to, the first ready one on the ring from there. Where it has what
     /// work of this key needs, that work is shorter there, and no node has to know who had it last.
     fn pick_by_key(&mut self, now: Millis, wu: WuId, but: &[ExecutorId]) -> Option<ExecutorId> {
-        let from = mixed(self.wus.get(&wu)?.key?.0);
+        let key = self.wus.get(&wu)?.key?;
         if self.fleet.ring.is_empty() {
-            self.fleet.ring = self.fleet.ring_of_ready();
+            let f = &self.fleet;
+            self.fleet.ring = Ring::of(f.healthy.iter().map(|x| (f.listed[x.0 as usize].token, *x)));
         }
-        let first = self.fleet.ring.partition_point(|&(point, _)| point < from);
-        for k in 0..self.fleet.ring.len().min(PICKS) {
-            let x = self.fleet.ring[(first + k) % self.fleet.ring.len()].1;
+        for k in 0..PICKS {
+            let x = self.fleet.ring.nth(key, k)?;
             if !but.contains(&x) && self.allowed(now, self.wus.get(&wu)?, x) && self.let_through(now, x) {
                 return Some(x);
             }
@@ -846,7 +849,18 @@
     /// Wants an answer from the next of those drawn.
     fn probe_next(&mut self, now: Millis, wu: WuId) {
         let Some(w) = self.wus.get_mut(&wu) else { return };
-        let Some(&executor) = w.drawn.get(w.probed) else { return self.choose(now, wu) };
+        let Some(&executor) = w.drawn.get(w.probed) else {
+            // Nobody has answered as fast as quick ones do: what slow ones usually take is waited for once.
+            let (quick, lag) =
+                (self.monitoring.quick_lag.unwrap_or(15.0), self.monitoring.lag.unwrap_or(15.0));
+            let waits = w.answers.is_empty() && w.probed == w.drawn.len() && lag > 3.0 * quick;
+            w.probed += 1;
+            let limit = w.limit;
+            return match waits {
+                true => self.want(wu, Wanted::Probed, (now + 8.0 * lag).min(limit)),
+                false => self.choose(now, wu),
+            };
+        };
         w.probed += 1;
         let e = executor.0 as usize;
         if now < self.fleet.unprobed[e] {
@@ -860,7 +874,7 @@
             self.fleet.awaiting[e].push(wu);
         }
         // The wait for a probe is bounded by what it usually takes; a deep one may queue like a work unit.
-        let wake = (now + 8.0 * self.monitoring.lag.unwrap_or(15.0) + 5.0).min(w.limit);
+        let wake = (now + 8.0 * self.monitoring.quick_lag.unwrap_or(15.0) + 5.0).min(w.limit);
         self.want(wu, Wanted::Probed, wake);
     }
 
@@ -973,6 +987,8 @@
         let shown = self.fleet.slots.iter().copied().filter(|&slots| slots > 0.0);
         self.fleet.least_slots = shown.min_by(f64::total_cmp).unwrap_or(1.0);
         let m = &mut self.monitoring;
+        let soonest = self.types.iter().map(|kind| kind.turnaround).fold(f64::INFINITY, f64::min);
+        m.long_way = LONG_WAY * soonest + 4.0 * m.quick_lag.unwrap_or(0.0);
         // The design's C, probe latency over running time, and what the settings charge for a probe as a
         // share of what a work unit earns.
         let cost = m.lag.unwrap_or(0.0) / self.fleet.mean_run.max(1.0) + m.price;
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -359,7 +359,7 @@
 /// node alone takes it at once, and so does one of many where no queues show.
 #[test]
 fn many_nodes_share_a_free_slot_by_chance() {
-    for (nodes, queues, low, high) in [(1.0, 1.0, 50, 100), (20.0, 1.0, 1, 40), (20.0, 0.0, 90, 100)] {
+    for (nodes, queues, low, high) in [(1.0, 1.0, 50, 100), (20.0, 1.0, 1, 20), (20.0, 0.0, 90, 100)] {
         let mut node = node(nodes);
         node.warm(20);
         let mut sent = 0;
@@ -961,3 +961,74 @@
     assert!(late, "readings are known to be late");
     assert!(sent > 150, "{sent} of 200 are sent");
 }
+
+/// What a probe answered after others were asked still counts, and ways that are long for this node alone are
+/// drawn less for a while, then as before.
+#[test]
+fn long_ways_cost_a_probe_and_no_more() {
+    let reading = Reading { queue: Some(0.0), free_slots: Some(4.0), ..Reading::default() };
+    let (mut node, mut used, mut slowest) = (node(1.0), [0, 0, 0], 0.0f64);
+    node.warm(10);
+    for k in 0..900 {
+        // The way to half of them takes 80 ms, which is long beside a turnaround of 100 ms, until near the end.
+        let long = |e: ExecutorId| e.0 < 5 && k < 600;
+        node.now += if k == 600 { 40_000.0 } else { 20.0 };
+        let asked = node.now;
+        let (wu, mut actions) = node.arrive(0);
+        let (mut out, mut done): (Vec<(Millis, ExecutorId)>, bool) = (Vec::new(), false);
+        while !done || !out.is_empty() {
+            let probes = actions.iter().filter_map(|a| match a {
+                Action::Probe { executor } => {
+                    Some((node.now + if long(*executor) { 80.0 } else { 1.0 }, *executor))
+                }
+                _ => None,
+            });
+            out.extend(probes);
+            if let Some(executor) = push_of(&actions) {
+                used[k / 300] += long(executor) as u32 + (k >= 600 && executor.0 < 5) as u32;
+                slowest = slowest.max(node.now - asked);
+                done = true;
+                node.end(wu, 0, Outcome::Completed);
+            }
+            out.sort_by(|a, b| a.0.total_cmp(&b.0));
+            let first = out.first().map_or(f64::INFINITY, |first| first.0);
+            if first <= node.now + 1.0 {
+                let (at, executor) = out.remove(0);
+                node.now = node.now.max(at);
+                actions = node.tell(Event::Probed { executor, answered: true, lag: at - asked, reading });
+            } else {
+                node.now += 1.0;
+                actions = node.tell(Event::TimerFired);
+            }
+        }
+    }
+    assert!((1..90).contains(&used[1]), "{used:?} of 300 went the long way");
+    assert!(used[2] > 90, "{used:?} of 300 went there once it was short again");
+    assert!(slowest < 250.0, "one waited {slowest} ms for answers");
+}
+
+/// Executors that turn away most of what they cannot start hardly queue any: a queue of one is taken there, and
+/// not where nobody is turned away.
+#[test]
+fn a_queue_of_one_is_taken_where_waiting_rooms_are_small() {
+    for (outcome, expected) in [(Outcome::Full, true), (Outcome::Completed, false)] {
+        let mut node = node(1.0);
+        node.warm(4);
+        for _ in 0..10 {
+            let (wu, _) = node.pushed(0);
+            let actions = node.end(wu, 0, outcome);
+            node.answer(actions, |_| 0.0);
+            node.tell(Event::Withdrawn { wu });
+            node.now += 5000.0;
+        }
+        let (_, mut actions) = node.arrive(0);
+        let reading = Reading { queue: Some(0.0), free_slots: Some(0.0), ..Reading::default() };
+        while let Some(executor) = actions.iter().find_map(|a| match a {
+            Action::Probe { executor } => Some(*executor),
+            _ => None,
+        }) {
+            actions = node.tell(Event::Probed { executor, answered: true, lag: 1.0, reading });
+        }
+        assert_eq!(push_of(&actions).is_some(), expected, "after {outcome:?}");
+    }
+}
