Work that brought down its executor right at its start is not sent to the next one

Change: the module takes Event::Started. Work whose allocation was reset within 150 ms of its start is sent again only after that executor has answered a probe (then only the connection broke); else it is given up at once. One that drains by then is not asked.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -3,11 +3,13 @@
 //! How to call it: `Dispatcher::new(values, seed, now)`, then `tell(now, event)` for each event of a moment
 //! and one `emit(now, &mut actions)` after them. `tell` only changes what is wanted; `emit` alone works out
 //! the difference to what is out, held and timed. The interface (events, actions, ids) stands in `terms.rs`.
+mod following;
 mod learned;
 mod retune;
 mod ring;
 
 use crate::terms::*;
+use following::Following;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use ring::Ring;
@@ -56,18 +58,17 @@
 const SHORT_SHARE: f64 = 0.3;
 /// Waiting rooms are small where executors turn away over this share of the allocations.
 const SMALL_ROOMS: f64 = 0.04;
+/// An executor that breaks off so soon after it began a work unit may have done so because of it.
+const BROKE_WITHIN: Millis = 150.0;
 /// A way is long from this part of the shortest promised turnaround on.
 const LONG_WAY: f64 = 0.1;
-/// How far apart nodes that were not answered ask for the list, and the part of the asking span they take.
-const ASK_APART: Millis = 100.0;
-const ASK_WITHIN: f64 = 0.7;
 /// Chance that an executor elsewhere is ready, where crossing is priced.
 const FAR: f64 = 0.3;
 /// What it gains to find all slots of an executor free and not none, in what a probe may cost.
 const EMPTIER: f64 = 60.0;
 /// Where only drains bind, an executor that the list dropped without one is drawn for so long.
 const SPARED: Millis = 30_000.0;
-/// An executor that has completed work so lately serves, whatever its probes say; they are left out for a while.
+/// An executor that completed work so lately serves, whatever its probes say; they are left out a while.
 const WORKED: Millis = 2000.0;
 const UNPROBED: Millis = 1000.0;
 
@@ -152,7 +153,11 @@
 struct Alloc {
     executor: ExecutorId,
     sent: Millis,
+    /// When it started, where that was told.
+    begun: Millis,
     outcome: Option<Outcome>,
+    /// Whether its executor broke off right after it had begun.
+    broke: bool,
 }
 
 #[derive(Clone, Copy, PartialEq, Default)]
@@ -209,14 +214,6 @@
     price: f64,
 }
 
-struct Following {
-    ask_at: Millis,
-    /// Whether the list has been told since it was last lost: the first loss after that is no failed call.
-    stood: bool,
-    failures: u32,
-    ask_every: Millis,
-}
-
 /// What a customer may still ask within its share: so many work units, filling up at a rate.
 struct Share {
     left: f64,
@@ -258,7 +255,7 @@
     if score == 0.0 { 0.0 } else { score * (-(now - at) / fade).exp() }
 }
 
-/// The mean time in the system of the ESM formula, in units of the mean running time; none where ρ reaches 1.
+/// The mean time in the system by the ESM formula, in mean running times; none where ρ reaches 1.
 pub fn time_in_system(draws: u32, load: f64, cost: f64) -> Option<f64> {
     let d = draws as f64;
     let left = 1.0 - load * d * cost;
@@ -382,7 +379,7 @@
         let blind = self.late || *reading == Reading::default();
         let free = reading.free_slots.or((blind && self.slots[e] > 0.0).then_some(0.0));
         let Some(free) = free else { return (waiting.round(), f64::INFINITY) };
-        // Guards against readings that come late, stand still or are missing: what this node has out there is there.
+        // Guards against readings that come late, stand still or are missing: what is out there is there.
         let part = if blind { self.part } else { 1.0 };
         let own = (self.slots_of(e) * part).max(slots) - self.own_out[e];
         let free = if blind { own } else { (free - self.unseen(e, now)).min(own) };
@@ -426,17 +423,8 @@
         match event {
             Event::ListTold { kind, entries } => self.on_list(now, kind, &entries),
             Event::ListLost => {
-                // Waits grow, with jitter against asking in step, well inside the span that counts as told.
-                let f = &mut self.following;
-                f.failures = (f.failures + 1).min(6);
-                let wait = (100.0 * f64::powi(2.0, f.failures as i32)).min(f.ask_every / 4.0);
-                // Guards against many nodes that ask so often together that each call waits past its time
-                // and none is answered: what failed is asked again spread over a span for all of them.
-                let all = ((self.nodes - 1.0) * ASK_APART).min(f.ask_every * ASK_WITHIN);
-                let spread = if std::mem::take(&mut f.stood) { 0.0 } else { all };
-                let wait = wait * self.rng.random_range(0.5..1.0) + spread * self.rng.random::<f64>();
-                f.ask_at = now + wait;
-                self.log.push(format!("list lost: failure {}, asking in {wait:.0} ms", f.failures));
+                let said = self.following.lost(now, self.nodes, &mut self.rng);
+                self.log.push(said);
             }
             Event::Arrived { wu, project_type, customer, key, slots, left, again, .. } => {
                 let project_type = project_type.0 as usize;
@@ -463,7 +451,11 @@
             Event::Beside { runs: true } => self.beside_until = f64::INFINITY,
             Event::Beside { runs: false } => self.beside_until = now + self.cold.fall,
             Event::Learned(learned) => self.on_learned(learned),
-            Event::Started { .. } | Event::Progress { .. } => {}
+            Event::Started { wu, alloc } => {
+                let a = self.wus.get_mut(&wu).and_then(|w| w.allocs.get_mut(alloc.0 as usize));
+                a.into_iter().for_each(|a| a.begun = now);
+            }
+            Event::Progress { .. } => {}
             Event::TimerFired => self.wake_set = f64::INFINITY,
             Event::Withdrawn { wu } => self.forget(wu),
         }
@@ -596,8 +588,9 @@
     fn on_ended(&mut self, now: Millis, wu: WuId, alloc: AllocId, outcome: Outcome, closed: bool) {
         let Some(w) = self.wus.get_mut(&wu) else { return };
         let Some(a) = w.allocs.get_mut(alloc.0 as usize).filter(|a| a.outcome.is_none()) else { return };
-        a.outcome = Some(outcome);
         let (executor, e, sent) = (a.executor, a.executor.0 as usize, a.sent);
+        let broke = outcome == Outcome::Reset && now - a.begun < BROKE_WITHIN && self.fleet.is_ready(e, now);
+        (a.outcome, a.broke) = (Some(outcome), broke);
         let (project_type, slots) = (w.project_type, w.slots);
         self.fleet.own_change(e, now, -slots);
         self.fleet.met = (faded(self.fleet.met, now, DISTRUST_FADE) + 1.0, now);
@@ -625,6 +618,8 @@
         }
         if closed {
             self.forget(wu)
+        } else if broke && self.may_resend(now, &self.wus[&wu]).0 != Resend::Never {
+            self.probe(now, wu, vec![executor])
         } else {
             self.draw(now, wu)
         }
@@ -637,7 +632,7 @@
     fn on_recovered(&mut self, now: Millis, wu: WuId, executor: ExecutorId, sent: Millis) {
         let known = (executor.0 as usize) < self.fleet.listed.len();
         let Some(w) = self.wus.get_mut(&wu).filter(|_| known) else { return };
-        w.allocs.push(Alloc { executor, sent, outcome: None });
+        w.allocs.push(Alloc { executor, sent, begun: f64::NEG_INFINITY, outcome: None, broke: false });
         w.draws = 0;
         let (slots, limit) = (w.slots, w.limit);
         self.fleet.own_change(executor.0 as usize, now, slots);
@@ -752,20 +747,19 @@
     /// show.
     fn let_through(&mut self, now: Millis, executor: ExecutorId) -> bool {
         let e = executor.0 as usize;
-        let warmth = self.warmth(e, now);
-        let warmth = if self.shown_short() { warmth.sqrt() } else { warmth };
-        let far = if self.home.is_some_and(|home| self.fleet.listed[e].place != home) { FAR } else { 1.0 };
-        // Guards against executors that are slow to reach for this node alone, which no queue shows: each work
-        // unit pays their way twice, for the probe and for itself.
+        let warmth = self.warmth(e, now).powf(if self.shown_short() { 0.5 } else { 1.0 });
+        let elsewhere = self.home.is_some_and(|home| self.fleet.listed[e].place != home);
+        // Guards against executors that are slow to reach for this node alone, which no queue shows: work pays
+        // their way twice, for the probe and for itself.
         let (way, at) = self.fleet.way[e];
         let slow = way > self.monitoring.long_way && now - at < LONGEST_FADE;
-        let far = if slow { far * FAR } else { far };
+        let far = FAR.powi(i32::from(elsewhere) + i32::from(slow));
         let chance = far * warmth * (-faded(self.fleet.failed[e], now, self.fleet.fade(now))).exp();
         chance > 0.98 || self.rng.random::<f64>() < chance
     }
 
-    /// The executor that a key leads all nodes to, the first ready one on the ring from there. Where it has what
-    /// work of this key needs, that work is shorter there, and no node has to know who had it last.
+    /// The executor that a key leads all nodes to: the first ready one on the ring. What work of this key needs
+    /// is there already, and no node has to know who had it last.
     fn pick_by_key(&mut self, now: Millis, wu: WuId, but: &[ExecutorId]) -> Option<ExecutorId> {
         let key = self.wus.get(&wu)?.key?;
         if self.fleet.ring.is_empty() {
@@ -898,6 +892,14 @@
 
     /// With all answers in, the best of those drawn; among equal ones chance decides.
     fn choose(&mut self, now: Millis, wu: WuId) {
+        let Some(w) = self.wus.get_mut(&wu) else { return };
+        // Guards against work that brings down whatever executor begins it: it would take the next one, too.
+        // Where only a connection broke, the executor answers.
+        if let Some(a) = w.allocs.last_mut().filter(|a| a.broke) {
+            a.broke = false;
+            let lives = w.answers.iter().any(|(_, reading)| *reading != Reading::default());
+            return if lives { self.draw(now, wu) } else { self.give_up(now, wu) };
+        }
         let Some(w) = self.wus.get(&wu) else { return };
         let mut best: Vec<ExecutorId> = Vec::new();
         let mut least = (f64::INFINITY, true, 0.0);
@@ -1009,7 +1011,13 @@
             let Some(w) = self.wus.get_mut(&wu) else { continue };
             match w.wanted {
                 Wanted::Out(executor, cut_at) if w.allocs.last().is_none_or(|a| a.outcome.is_some()) => {
-                    w.allocs.push(Alloc { executor, sent: now, outcome: None });
+                    w.allocs.push(Alloc {
+                        executor,
+                        sent: now,
+                        begun: f64::NEG_INFINITY,
+                        outcome: None,
+                        broke: false,
+                    });
                     actions.push(Action::Push { wu, executor, cut_at });
                 }
                 Wanted::Probed | Wanted::Held | Wanted::Out(..) => {}
--- /dev/null
+++ b/src/rules/following.rs
@@ -0,0 +1,32 @@
+//! When the list is asked for, where it must be asked. Nothing is decided here of where work goes.
+use crate::terms::Millis;
+use rand::RngExt;
+use rand_chacha::ChaCha8Rng;
+
+/// How far apart nodes that were not answered ask for the list, and the part of the asking span they take.
+const ASK_APART: Millis = 100.0;
+const ASK_WITHIN: f64 = 0.7;
+
+pub struct Following {
+    pub ask_at: Millis,
+    /// Whether the list has been told since it was last lost: the first loss after that is no failed call.
+    pub stood: bool,
+    pub failures: u32,
+    pub ask_every: Millis,
+}
+
+impl Following {
+    /// A call failed, or following broke off: when to ask again, and what to say of it.
+    pub fn lost(&mut self, now: Millis, nodes: f64, rng: &mut ChaCha8Rng) -> String {
+        // Waits grow, with jitter against asking in step, well inside the span that counts as told.
+        self.failures = (self.failures + 1).min(6);
+        let wait = (100.0 * f64::powi(2.0, self.failures as i32)).min(self.ask_every / 4.0);
+        // Guards against many nodes that ask so often together that each call waits past its time
+        // and none is answered: what failed is asked again spread over a span for all of them.
+        let all = ((nodes - 1.0) * ASK_APART).min(self.ask_every * ASK_WITHIN);
+        let spread = if std::mem::take(&mut self.stood) { 0.0 } else { all };
+        let wait = wait * rng.random_range(0.5..1.0) + spread * rng.random::<f64>();
+        self.ask_at = now + wait;
+        format!("list lost: failure {}, asking in {wait:.0} ms", self.failures)
+    }
+}
--- a/src/rules/retune.rs
+++ b/src/rules/retune.rs
@@ -2,7 +2,7 @@
 use super::*;
 
 impl Dispatcher {
-    /// Takes settings. A work unit keeps the project type that it came with, and so all terms of it: those that
+    /// Takes settings. A work unit keeps the project type that it came with, so all terms of it: those that
     /// are known stay as they are, and only further ones are read.
     pub fn retune(&mut self, now: Millis, values: &NamedValues) {
         while values.holds(&format!("project_types.{}.hard_limit", self.types.len())) {
--- a/src/rules/ring.rs
+++ b/src/rules/ring.rs
@@ -1,4 +1,4 @@
-//! Executors as points on a ring, the same at every node that knows the same executors. Nothing is decided here.
+//! Executors as points on a ring, the same at every node that knows the same. Nothing is decided here.
 use crate::terms::{ExecutorId, KeyId};
 
 /// Points of an executor: so many make the parts of the ring about even.
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -1032,3 +1032,51 @@
         assert_eq!(push_of(&actions).is_some(), expected, "after {outcome:?}");
     }
 }
+
+/// Work whose executor broke off right after it had begun goes elsewhere only where that executor still answers:
+/// else it may be what brought it down. What had not begun, or ran for long, was beside it.
+#[test]
+fn work_that_brings_down_its_executor_is_not_sent_to_the_next() {
+    for (what, begun, ran, answers, expected) in [
+        ("it had begun and the executor is gone", true, 40.0, false, 'd'),
+        ("it had begun and only the connection broke", true, 40.0, true, 'p'),
+        ("it had not begun", false, 40.0, false, 'p'),
+        ("it ran for long", true, 900.0, false, 'p'),
+    ] {
+        let mut node = node(1.0);
+        node.warm(6);
+        // Work that the executor completed lately is no word of whether it lives now.
+        for _ in 0..30 {
+            let (wu, _) = node.pushed(0);
+            node.now += 1.0;
+            node.end(wu, 0, Outcome::Completed);
+        }
+        let (wu, executor) = node.pushed(0);
+        if begun {
+            node.now += 5.0;
+            node.tell(Event::Started { wu, alloc: AllocId(0) });
+        }
+        node.now += ran;
+        let mut actions = node.end(wu, 0, Outcome::Reset);
+        let reading = Reading { queue: Some(0.0), free_slots: Some(4.0), ..Reading::default() };
+        let asked = Action::Probe { executor };
+        if actions.contains(&asked) {
+            actions = node.tell(Event::Probed { executor, answered: answers, lag: 1.0, reading });
+        }
+        assert_eq!(said(&actions), expected, "{what}");
+    }
+    // What must not run twice is given up at once.
+    let mut node = with(values_of(1.0, None));
+    node.warm(6);
+    let (wu, _) = node.pushed(3);
+    node.tell(Event::Started { wu, alloc: AllocId(0) });
+    assert_eq!(said(&node.end(wu, 0, Outcome::Reset)), 'a');
+    // One that drains by then is not even asked.
+    let mut node = with(values_of(1.0, None));
+    node.warm(6);
+    let (wu, executor) = node.pushed(0);
+    node.tell(Event::Started { wu, alloc: AllocId(0) });
+    node.list(ListKind::Changes, &[listing(executor.0, executor.0, Phase::Draining, None)]);
+    let actions = node.end(wu, 0, Outcome::Reset);
+    assert!(said(&actions) == 'p' && !actions.contains(&Action::Probe { executor }), "{actions:?}");
+}
