--- a/src/rules.rs
+++ b/src/rules.rs
@@ -27,9 +27,6 @@
 /// How long a reading may have been under way when first seen, and when one that looks the same is a new one.
 const READING_DELAY: Millis = 40.0;
 const READING_LIFE: Millis = 500.0;
-/// Readings count as late from this share of answers that lack own work, and for so long after.
-const LATE_SHARE: f64 = 0.02;
-const LATE_FOR: Millis = 15_000.0;
 /// Traffic is uneven, so a node takes up to so many times its even part of what all share.
 const UNEVEN: f64 = 2.0;
 /// Distrust fades by this time constant; a running time over the usual adds so much of its logarithm to it.
@@ -64,8 +61,6 @@
 const LONG_WAY: f64 = 0.1;
 /// Chance that an executor elsewhere is ready, where crossing is priced.
 const FAR: f64 = 0.3;
-/// What it gains to find all slots of an executor free and not none, in what a probe may cost.
-const EMPTIER: f64 = 60.0;
 /// Where only drains bind, an executor that the list dropped without one is drawn for so long.
 const SPARED: Millis = 30_000.0;
 /// An executor that completed work so lately serves, whatever its probes say; they are left out a while.
@@ -124,10 +119,6 @@
     own_out: Vec<f64>,
     /// Smoothed running time of all work: what an older reading shows has mostly ended by then.
     mean_run: Millis,
-    /// Smoothed share of readings that lacked own work, and the mode that follows from it.
-    late_share: f64,
-    late: bool,
-    late_until: Millis,
     /// Smoothed share of own allocations that were turned away as full.
     full_share: f64,
     /// Own outcomes of late, fading, and when that was counted.
@@ -332,7 +323,7 @@
 
     fn own_change(&mut self, e: usize, now: Millis, slots: f64) {
         let changes = &mut self.own_changes[e];
-        while changes.front().is_some_and(|&(at, _)| at < now - self.mean_run.max(READING_LIFE)) {
+        while changes.front().is_some_and(|&(at, _)| at < now - READING_LIFE) {
             changes.pop_front();
         }
         changes.push_back((now, slots));
@@ -343,29 +334,7 @@
     /// newer than it are added, and what has ended since is taken off.
     fn unseen(&self, e: usize, now: Millis) -> f64 {
         let since = (self.read_at[e] - READING_DELAY).max(now - READING_LIFE);
-        self.own_since(e, since, f64::NEG_INFINITY)
-    }
-
-    /// Slots that own pushes and endings have changed since then, of the changes over `least`.
-    fn own_since(&self, e: usize, since: Millis, least: f64) -> f64 {
-        let counted = |&&(at, slots): &&(Millis, f64)| at >= since && slots > least;
-        self.own_changes[e].iter().filter(counted).map(|&(_, slots)| slots).sum()
-    }
-
-    /// Guards against readings that come seconds late, which draw all nodes to the same executors: one that
-    /// shows less in use than this node alone has had out there for long cannot be of now.
-    fn judge_reading(&mut self, e: usize, now: Millis, reading: &Reading) -> Option<String> {
-        let used = reading.free_slots.map(|free| self.slots[e] - free + reading.queue.unwrap_or(0.0));
-        let used = used.or(reading.held).unwrap_or(f64::INFINITY).max(0.0);
-        let own_old = self.own_out[e] - self.own_since(e, now - self.mean_run.max(READING_LIFE), 0.0);
-        let lacks = if own_old > 1.25 * used + 0.5 { 1.0 } else { 0.0 };
-        self.late_share += ANSWER_WEIGHT * (lacks - self.late_share);
-        if self.late_share > LATE_SHARE {
-            self.late_until = now + LATE_FOR;
-        }
-        let was = std::mem::replace(&mut self.late, now < self.late_until);
-        let log = || format!("readings late: {}, {:.3} of answers lack own work", !was, self.late_share);
-        (was != self.late).then(log)
+        self.own_changes[e].iter().filter(|&&(at, _)| at >= since).map(|&(_, slots)| slots).sum()
     }
 
     /// Slots of an executor: as its reports show, else the least that any has shown.
@@ -376,7 +345,7 @@
     /// The queue that a work unit would stand in, with the slots that it lacks there now; and the free slots.
     fn queue_for(&self, e: usize, now: Millis, slots: f64, reading: &Reading) -> (f64, f64) {
         let waiting = reading.queue.or(reading.held).unwrap_or(0.0);
-        let blind = self.late || *reading == Reading::default();
+        let blind = *reading == Reading::default();
         let free = reading.free_slots.or((blind && self.slots[e] > 0.0).then_some(0.0));
         let Some(free) = free else { return (waiting.round(), f64::INFINITY) };
         // Guards against readings that come late, stand still or are missing: what is out there is there.
@@ -548,7 +517,6 @@
             let running = (reading.held.unwrap_or(0.0) - reading.queue.unwrap_or(0.0)).max(0.0);
             let shown = reading.free_slots.unwrap_or(0.0) + running;
             self.fleet.slots[e] = self.fleet.slots[e].max(shown.round());
-            self.log.extend(self.fleet.judge_reading(e, now, &reading));
             if self.fleet.reading[e] != reading {
                 self.fleet.reading[e] = reading;
                 self.fleet.read_at[e] = now;
@@ -572,11 +540,11 @@
             let last = nth + 1 >= w.probed || w.probed > w.drawn.len();
             let reading = answer.map(|(_, reading)| reading).or(works.then(Reading::default));
             w.answers.extend(reading.map(|reading| (executor, reading)));
-            // With no queue, no crossing and no own work, those still to be probed could at best tie; else
-            // what an emptier one would gain must be worth its price.
+            // With no queue, no crossing and no own work, those still to be probed could at best tie; where
+            // probes are priced, an emptier one would not be worth one more.
             let rank = answer.map(|(_, reading)| self.rank(now, &self.wus[&wu], executor, &reading));
-            let roomy = |r: (f64, bool, f64)| (1.0 - EMPTIER * self.monitoring.price..=1.0).contains(&-r.2);
-            let best = rank.is_some_and(|r| r.0 < 0.5 && !r.1 && (self.fleet.own_out[e] < 0.5 || roomy(r)));
+            let enough = self.fleet.own_out[e] < 0.5 || self.monitoring.price > 0.0;
+            let best = rank.is_some_and(|r| r.0 < 0.5 && !r.1 && enough);
             if best {
                 self.choose(now, wu)
             } else if last {
@@ -916,12 +884,11 @@
         let (draws, answered) = (w.draws, !best.is_empty());
         // Guards against work deferred in front of executors that hardly queue any: where many turn away what
         // they cannot start, a queue of one is the longest that may be met. Where queues grow it stays shut.
-        let small = !self.fleet.late && self.fleet.full_share > SMALL_ROOMS;
+        let small = self.fleet.full_share > SMALL_ROOMS;
         let mut long = least.0 >= if small { 1.5 } else { 0.5 };
-        if answered && !long && !small && !self.fleet.late {
+        if answered && !long && !small {
             // Guards against the herd of all nodes on one reading: with as many of them as have seen it, each
-            // takes what it shows free by a chance that lets about that much through. Not where readings are
-            // late: own work alone tells of room there, which no other node sees.
+            // takes what it shows free by a chance that lets about that much through.
             let free = -least.2 * self.fleet.slots_of(best[0].0 as usize);
             long = self.rng.random::<f64>() * self.others_at_a_reading(now) * w.slots > free;
         }
