Idle connections that are dropped unseen are closed before they are used, and told among nodes

Ruled out: executors that died (probes answered), the list (healthy). At fault: a push takes whatever is idle there. A reset before any start on a connection that was idle is taken for that, said to the other nodes as each meets an executor once in a minute, and for 30 s connections idle for over 0.2 s are closed first. Beside it, where second copies are allowed and starts told, rerunnable work that has not begun is looked after, and gets a second copy where its executor shows room.

--- a/crates/daemon/src/driver.rs
+++ b/crates/daemon/src/driver.rs
@@ -380,6 +380,8 @@
                 let at = self.clock.when(at);
                 self.wake = Some(self.wake.map_or(at, |wake| wake.min(at)));
             }
+            Action::CloseIdle { executor } => self.executors.close_idle(executor),
+            Action::Tell(_) => {}
             Action::FollowList => self.follow.notify_one(),
             Action::Log(line) => tracing::info!("{line}"),
         }
--- a/crates/daemon/src/executors/mod.rs
+++ b/crates/daemon/src/executors/mod.rs
@@ -165,6 +165,11 @@
         }
     }
 
+    /// Closes what is idle there: it may be gone unseen.
+    pub fn close_idle(&self, executor: ExecutorId) {
+        self.host(executor).idle.borrow_mut().clear();
+    }
+
     pub fn connections(&self) -> usize {
         self.open.get()
     }
--- a/crates/hosting/src/lib.rs
+++ b/crates/hosting/src/lib.rs
@@ -2,9 +2,11 @@
 //! dense numbers of executors, and the tokens that stand for them at every node alike.
 mod catalogue;
 mod naming;
+mod telling;
 
 pub use catalogue::{Adopted, Catalogue};
 pub use naming::named_values;
+pub use telling::{MOST_TOLD, told, telling};
 use serde_json::{Map, Value};
 use std::collections::HashMap;
 use troutknot::{ExecutorId, Millis, Reading};
--- a/crates/wirehost/src/decode.rs
+++ b/crates/wirehost/src/decode.rs
@@ -1,7 +1,9 @@
 //! The wire's events as they stand on a line, borrowed from it.
 use serde::{Deserialize, Deserializer};
 use std::borrow::Cow;
-use troutknot::{KeyId, WuId};
+use base64::prelude::{BASE64_STANDARD, Engine};
+use troutknot::{KeyId, Telling, WuId};
+use troutknot_hosting::told;
 
 pub fn parse<'a, T: Deserialize<'a>>(line: &'a [u8]) -> Result<T, String> {
     serde_json::from_slice(line).map_err(|e| e.to_string().replace(" at line 1 column ", ", column "))
@@ -180,3 +182,16 @@
     #[serde(deserialize_with = "wu")]
     pub call: WuId,
 }
+
+#[derive(Deserialize)]
+pub struct Inbox<'a> {
+    pub i: u64,
+    #[serde(default, borrow)]
+    pub body: Option<Cow<'a, str>>,
+}
+
+impl Inbox<'_> {
+    pub fn said(&self) -> Option<Telling> {
+        told(&BASE64_STANDARD.decode(self.body.as_deref()?).ok()?)
+    }
+}
--- a/crates/wirehost/src/encode.rs
+++ b/crates/wirehost/src/encode.rs
@@ -1,6 +1,7 @@
 //! Actions as lines of the wire.
+use base64::prelude::{BASE64_STANDARD, Engine};
 use troutknot::{Action, Millis, WuId};
-use troutknot_hosting::Numbers;
+use troutknot_hosting::{Numbers, telling};
 
 fn micros(at: Millis) -> u64 {
     (at * 1000.0).round().max(0.0) as u64
@@ -63,6 +64,15 @@
             number(out, ",\"at\":", (at * 1000.0).ceil() as u64);
             number(out, ",\"key_back\":", 0);
         }
+        Action::CloseIdle { executor } => {
+            open(out, "let_go", instance);
+            text(out, ",\"executor\":", numbers.name(*executor));
+        }
+        Action::Tell(said) => {
+            open(out, "announce", instance);
+            out.extend_from_slice(b",\"to\":null");
+            text(out, ",\"body\":", &BASE64_STANDARD.encode(telling(*said)));
+        }
         Action::FollowList => {
             open(out, "listen", instance);
             out.extend_from_slice(b",\"enable\":true");
--- a/crates/wirehost/src/host.rs
+++ b/crates/wirehost/src/host.rs
@@ -128,8 +128,14 @@
                 let w: decode::Withdrawn = decode::parse(line)?;
                 self.tell(w.i, now, |_| Event::Withdrawn { wu: w.call });
             }
-            // Other ops, messages between instances among them, are not for us; they must be JSON all the
-            // same.
+            "inbox" => {
+                let inbox: decode::Inbox = decode::parse(line)?;
+                // What a node sends is not in our hands: what is not understood is passed over.
+                if let Some(said) = inbox.said() {
+                    self.tell(inbox.i, now, |_| Event::Told(said));
+                }
+            }
+            // Other ops are not for us; they must be JSON all the same.
             _ => {
                 decode::parse::<serde::de::IgnoredAny>(line)?;
             }
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -57,6 +57,10 @@
 const SMALL_ROOMS: f64 = 0.04;
 /// An executor that breaks off so soon after it began a work unit may have done so because of it.
 const BROKE_WITHIN: Millis = 150.0;
+/// Where idle connections are dropped unseen, none is used again that was idle for longer; for so long, as then
+/// nothing more is learned.
+const LEAST_IDLE: Millis = 200.0;
+const DROPS_FOR: Millis = 30_000.0;
 /// A way is long from this part of the shortest promised turnaround on.
 const LONG_WAY: f64 = 0.1;
 /// Chance that an executor elsewhere is ready, where crossing is priced.
@@ -130,6 +134,8 @@
     probe_out: Vec<bool>,
     /// What was pushed while cold: when, and how many slot-milliseconds.
     cold_spent: Vec<Vec<(Millis, f64)>>,
+    /// When a connection there was last used by an allocation.
+    used: Vec<Millis>,
     /// Until when one that the list dropped is still drawn, and when it last answered without a fault since.
     spared: Vec<Millis>,
     heard: Vec<Millis>,
@@ -144,6 +150,8 @@
 struct Alloc {
     executor: ExecutorId,
     sent: Millis,
+    /// How long the executor's connections had not been used.
+    idle: Millis,
     /// When it started, where that was told.
     begun: Millis,
     outcome: Option<Outcome>,
@@ -151,12 +159,25 @@
     broke: bool,
 }
 
+impl Alloc {
+    fn new(executor: ExecutorId, sent: Millis, idle: Millis) -> Self {
+        Alloc { executor, sent, idle, begun: f64::NEG_INFINITY, outcome: None, broke: false }
+    }
+}
+
+impl Wu {
+    fn is_out(&self) -> bool {
+        self.allocs.iter().any(|a| a.outcome.is_none())
+    }
+}
+
 #[derive(Clone, Copy, PartialEq, Default)]
 enum Wanted {
     /// Probes are wanted or out for what was drawn.
     #[default]
     Probed,
-    Out(ExecutorId, Millis),
+    /// So many allocations in all, the last one there and cut then.
+    Out(ExecutorId, Millis, usize),
     Held,
     Deferred(Option<Millis>),
     Aborted,
@@ -234,6 +255,14 @@
     wakes: BTreeSet<(u64, WuId)>,
     wake_set: Millis,
     monitoring: Monitoring,
+    /// How long a connection stays open idle, and until when that is not believed.
+    idle_stated: Millis,
+    drops_until: Millis,
+    /// Whether nodes may tell one another, and what is to be told.
+    talks: bool,
+    tellings: Vec<Telling>,
+    /// Whether a second copy may run beside the first, and starts are told.
+    copies: bool,
     following: Following,
     beside_until: Millis,
     /// Whether only drains bind, and not that the list calls an executor gone.
@@ -282,6 +311,7 @@
             self.awaiting.push(Vec::new());
             self.probe_out.push(false);
             self.cold_spent.push(Vec::new());
+            self.used.push(f64::NEG_INFINITY);
             self.spared.push(0.0);
             self.heard.push(f64::NEG_INFINITY);
             self.worked.push(f64::NEG_INFINITY);
@@ -378,6 +408,11 @@
             wakes: BTreeSet::new(),
             wake_set: f64::INFINITY,
             monitoring: Monitoring { draws: 2, at: now, long_way: f64::INFINITY, ..Monitoring::default() },
+            idle_stated: 0.0,
+            drops_until: 0.0,
+            talks: false,
+            tellings: Vec::new(),
+            copies: false,
             following: Following { ask_at, stood: false, failures: 0, ask_every: 0.0 },
             beside_until: 0.0,
             gone_may_serve: false,
@@ -417,6 +452,7 @@
             }
             Event::Ended { wu, alloc, outcome, closed } => self.on_ended(now, wu, alloc, outcome, closed),
             Event::Recovered { wu, executor, sent } => self.on_recovered(now, wu, executor, sent),
+            Event::Told(Telling::Dropped) => self.on_dropped(now, false),
             Event::Beside { runs: true } => self.beside_until = f64::INFINITY,
             Event::Beside { runs: false } => self.beside_until = now + self.cold.fall,
             Event::Learned(learned) => self.on_learned(learned),
@@ -436,6 +472,8 @@
             w.wake = f64::INFINITY;
             match w.wanted {
                 Wanted::Probed => self.probe_next(now, wu),
+                // It has not begun yet: its executor is asked why.
+                Wanted::Out(executor, ..) => self.probe(now, wu, vec![executor]),
                 Wanted::Held => {
                     w.draws = 1;
                     self.draw(now, wu)
@@ -480,8 +518,8 @@
         // A push decided in this very batch must not go to an executor that the list has just taken away.
         for wu in self.touched.clone() {
             let Some(w) = self.wus.get(&wu) else { continue };
-            if let Wanted::Out(executor, _) = w.wanted
-                && w.allocs.iter().all(|a| a.outcome.is_some())
+            if let Wanted::Out(executor, _, allocs) = w.wanted
+                && w.allocs.len() < allocs
                 && !self.fleet.is_ready(executor.0 as usize, now)
             {
                 self.fleet.own_change(executor.0 as usize, now, -w.slots);
@@ -557,15 +595,24 @@
         let Some(w) = self.wus.get_mut(&wu) else { return };
         let Some(a) = w.allocs.get_mut(alloc.0 as usize).filter(|a| a.outcome.is_none()) else { return };
         let (executor, e, sent) = (a.executor, a.executor.0 as usize, a.sent);
+        let (idle, quick) = (a.idle, outcome == Outcome::Reset && now - sent < BROKE_WITHIN);
+        let dropped = quick && a.begun == f64::NEG_INFINITY && idle < self.idle_stated;
         let broke = outcome == Outcome::Reset && now - a.begun < BROKE_WITHIN && self.fleet.is_ready(e, now);
         (a.outcome, a.broke) = (Some(outcome), broke);
+        let another_out = w.is_out();
         let (project_type, slots) = (w.project_type, w.slots);
         self.fleet.own_change(e, now, -slots);
         self.fleet.met = (faded(self.fleet.met, now, DISTRUST_FADE) + 1.0, now);
         // Only executors that showed room are sent to; one that is full all the same reports wrongly.
-        if !matches!(outcome, Outcome::Completed | Outcome::NotSent | Outcome::Cancelled) {
+        if dropped {
+            // Its connection was gone before: no fault of the executor.
+            self.on_dropped(now, true);
+        } else if !matches!(outcome, Outcome::Completed | Outcome::NotSent | Outcome::Cancelled) {
             self.fleet.fault(e, now);
         }
+        if !outcome.never_ran() {
+            self.fleet.used[e] = now;
+        }
         let full = f64::from(outcome == Outcome::Full);
         self.fleet.full_share += RUN_WEIGHT * (full - self.fleet.full_share);
         if outcome == Outcome::Completed {
@@ -586,6 +633,8 @@
         }
         if closed {
             self.forget(wu)
+        } else if another_out {
+            // What follows is for the copy that is still out, or in the making, to say.
         } else if broke && self.may_resend(now, &self.wus[&wu]).0 != Resend::Never {
             self.probe(now, wu, vec![executor])
         } else {
@@ -600,17 +649,27 @@
     fn on_recovered(&mut self, now: Millis, wu: WuId, executor: ExecutorId, sent: Millis) {
         let known = (executor.0 as usize) < self.fleet.listed.len();
         let Some(w) = self.wus.get_mut(&wu).filter(|_| known) else { return };
-        w.allocs.push(Alloc { executor, sent, begun: f64::NEG_INFINITY, outcome: None, broke: false });
+        w.allocs.push(Alloc::new(executor, sent, f64::INFINITY));
         w.draws = 0;
-        let (slots, limit) = (w.slots, w.limit);
+        let (slots, limit, allocs) = (w.slots, w.limit, w.allocs.len());
         self.fleet.own_change(executor.0 as usize, now, slots);
-        self.want(wu, Wanted::Out(executor, limit), f64::INFINITY);
+        self.want(wu, Wanted::Out(executor, limit, allocs), f64::INFINITY);
+    }
+
+    /// Guards against connections that are dropped unseen while idle: what is sent on one is lost, and may
+    /// have run. A node that meets each executor seldom would lose much until it knew, so it tells the others.
+    fn on_dropped(&mut self, now: Millis, seen: bool) {
+        if now >= self.drops_until {
+            self.log.push(format!("idle connections dropped: none is used again after {LEAST_IDLE} ms"));
+            self.tellings.extend((seen && self.talks).then_some(Telling::Dropped));
+        }
+        self.drops_until = now + DROPS_FOR;
     }
 
     fn forget(&mut self, wu: WuId) {
         let Some(w) = self.wus.remove(&wu) else { return };
         // What is still out after its answer is left to the readings to show.
-        if let Some(a) = w.allocs.last().filter(|a| a.outcome.is_none()) {
+        for a in w.allocs.iter().filter(|a| a.outcome.is_none()) {
             let out = &mut self.fleet.own_out[a.executor.0 as usize];
             *out = (*out - w.slots).max(0.0);
         }
@@ -653,12 +712,39 @@
     /// Gives up: the answer goes out with this very batch.
     fn give_up(&mut self, now: Millis, wu: WuId) {
         let Some(w) = self.wus.get(&wu) else { return };
+        if w.is_out() {
+            return self.wait(now, wu, f64::INFINITY);
+        }
         let turnaround = self.types[w.project_type].turnaround;
         let deferred = Wanted::Deferred(self.come_back_told.then_some(turnaround));
         let wanted = if self.may_resend(now, w).1 { deferred } else { Wanted::Aborted };
         self.want(wu, wanted, f64::INFINITY);
     }
 
+    /// Waits for the allocations that are out, and looks again then.
+    fn wait(&mut self, now: Millis, wu: WuId, wake: Millis) {
+        let Some((w, a)) = self.wus.get(&wu).and_then(|w| Some((w, w.allocs.last()?))) else { return };
+        let wanted = Wanted::Out(a.executor, w.limit, w.allocs.len());
+        self.want(wu, wanted, wake.max(now));
+    }
+
+    /// Where work that is out has not begun though it should have: whether it ever got there.
+    fn look_after(&mut self, now: Millis, wu: WuId) {
+        let Some(w) = self.wus.get(&wu) else { return };
+        let slots = w.slots;
+        let a = *w.allocs.last().expect("one is out");
+        let roomy = |r: &Reading| r.queue.unwrap_or(1.0) < 0.5 && r.free_slots.unwrap_or(0.0) >= slots;
+        let lost = w.answers.iter().any(|(x, r)| *x == a.executor && roomy(r));
+        if !lost || a.begun > f64::NEG_INFINITY {
+            return self.wait(now, wu, f64::INFINITY);
+        }
+        // There is room where it was sent, and it has not begun: it was lost on the way.
+        if a.idle < self.idle_stated {
+            self.on_dropped(now, true);
+        }
+        self.draw(now, wu)
+    }
+
     /// 1 for a warm executor, less while it may still be cold; the slowest ramp is assumed.
     fn warmth(&self, e: usize, at: Millis) -> f64 {
         let ColdRule { share, ramp, .. } = self.cold;
@@ -861,6 +947,9 @@
     /// With all answers in, the best of those drawn; among equal ones chance decides.
     fn choose(&mut self, now: Millis, wu: WuId) {
         let Some(w) = self.wus.get_mut(&wu) else { return };
+        if w.is_out() && w.allocs.last().is_some_and(|a| w.drawn == [a.executor]) {
+            return self.look_after(now, wu);
+        }
         // Guards against work that brings down whatever executor begins it: it would take the next one, too.
         // Where only a connection broke, the executor answers.
         if let Some(a) = w.allocs.last_mut().filter(|a| a.broke) {
@@ -905,22 +994,31 @@
         }
         let executor = best[self.rng.random_range(0..best.len())];
         let (w, e) = (&self.wus[&wu], executor.0 as usize);
-        let (cut_at, slots, cost) = (w.limit, w.slots, self.cost(w));
+        let (cut_at, slots, cost, allocs) = (w.limit, w.slots, self.cost(w), w.allocs.len() + 1);
         if self.warmth(e, now - self.cold.fall) < 1.0 {
             let spent = &mut self.fleet.cold_spent[e];
             spent.retain(|&(at, _)| at >= now - self.cold.fall);
             spent.push((now, cost));
         }
         self.fleet.own_change(e, now, slots);
-        self.want(wu, Wanted::Out(executor, cut_at), f64::INFINITY);
+        let kind = &self.types[w.project_type];
+        let looks = self.copies && allocs < kind.most_allocs && kind.effect == Effect::Rerunnable;
+        let wake = if looks { now + kind.turnaround.max(READING_LIFE) } else { f64::INFINITY };
+        self.want(wu, Wanted::Out(executor, cut_at, allocs), wake);
+    }
+
+    fn patience(&self, kind: &ProjectType) -> Millis {
+        PATIENCE * (kind.turnaround + (kind.stretch - 1.0).max(0.0) * kind.run)
     }
 
     /// Holds a work unit, to draw again halfway, while it may well end within its promised turnaround, then
     /// gives it up at once.
     fn hold(&mut self, now: Millis, wu: WuId) {
         let Some(w) = self.wus.get(&wu) else { return };
-        let kind = &self.types[w.project_type];
-        let patience = PATIENCE * (kind.turnaround + (kind.stretch - 1.0).max(0.0) * kind.run);
+        if w.is_out() {
+            return self.wait(now, wu, f64::INFINITY);
+        }
+        let patience = self.patience(&self.types[w.project_type]);
         let until = (w.asked + patience).min(w.limit);
         // Where room is short, what exceeds a customer's share goes first.
         if now >= until || (w.over && !self.held.is_empty()) {
@@ -977,14 +1075,12 @@
         for wu in std::mem::take(&mut self.touched) {
             let Some(w) = self.wus.get_mut(&wu) else { continue };
             match w.wanted {
-                Wanted::Out(executor, cut_at) if w.allocs.last().is_none_or(|a| a.outcome.is_some()) => {
-                    w.allocs.push(Alloc {
-                        executor,
-                        sent: now,
-                        begun: f64::NEG_INFINITY,
-                        outcome: None,
-                        broke: false,
-                    });
+                Wanted::Out(executor, cut_at, allocs) if w.allocs.len() < allocs => {
+                    let idle = now - self.fleet.used[executor.0 as usize];
+                    if now < self.drops_until && idle > LEAST_IDLE && idle < self.idle_stated {
+                        actions.push(Action::CloseIdle { executor });
+                    }
+                    w.allocs.push(Alloc::new(executor, now, idle));
                     actions.push(Action::Push { wu, executor, cut_at });
                 }
                 Wanted::Probed | Wanted::Held | Wanted::Out(..) => {}
@@ -1005,6 +1101,7 @@
                 actions.push(Action::Probe { executor });
             }
         }
+        actions.extend(self.tellings.drain(..).map(Action::Tell));
         let first = self.wakes.first().map_or(f64::INFINITY, |&(bits, _)| f64::from_bits(bits));
         let wake = first.min(self.following.ask_at);
         if wake < self.wake_set {
--- a/src/terms.rs
+++ b/src/terms.rs
@@ -210,6 +210,13 @@
     pub cold_spent: Vec<(Millis, f64)>,
 }
 
+/// What one node tells the others.
+#[derive(Clone, Copy, PartialEq, Debug)]
+pub enum Telling {
+    /// A connection that had been idle was gone unseen.
+    Dropped,
+}
+
 #[derive(Clone, PartialEq, Debug)]
 pub enum Event {
     ListTold {
@@ -254,6 +261,8 @@
     },
     /// What a process of this node before this one knew; after the list.
     Learned(Learned),
+    /// Another node says something; it may be late, lost or wrong.
+    Told(Telling),
     /// An allocation has started to run, or to answer.
     Started {
         wu: WuId,
@@ -280,6 +289,10 @@
     Abort { wu: WuId },
     Probe { executor: ExecutorId },
     Wake { at: Millis },
+    /// Closes the connections to an executor that are idle: they may be gone unseen.
+    CloseIdle { executor: ExecutorId },
+    /// Tells all other nodes, as far as it gets to them.
+    Tell(Telling),
     FollowList,
     Log(String),
 }
