--- a/src/rules/retune.rs
+++ b/src/rules/retune.rs
@@ -47,7 +47,7 @@
         self.home = (values.number("prices.cross_place", 0.0) > 0.0)
             .then_some(PlaceId(values.number("place", 0.0) as u32));
         self.monitoring.price = values.number("prices.probe", 0.0);
-        self.idling.stated = values.number("limits.idle_connection", 0.0);
+        self.idle_stated = values.number("limits.idle_connection", 0.0);
         self.talks = values.flag("limits.peers");
         self.copies = values.flag("limits.second_copies") && values.flag("executors.tell_start");
         self.following.ask_every = values.number("rules.ask_every", 10_000.0);
