--- a/src/rules.rs
+++ b/src/rules.rs
@@ -217,6 +217,7 @@
     draws: u32,
     at: Millis,
     waiting_share: Option<f64>,
+    seen: f64,
     /// Answers of late, fading, and when that was counted.
     answers: (f64, Millis),
     lag: Option<Millis>,
@@ -550,8 +551,10 @@
             let quick = m.quick_lag.get_or_insert(lag);
             *quick += if lag < *quick { 0.2 } else { 0.01 } * (lag - *quick);
             let waiting = if reading.queue.unwrap_or(0.0) >= 0.5 { 1.0 } else { 0.0 };
+            // Guards against what a node holds at its start, which one that sees little would keep all day.
+            m.seen += 1.0;
             let share = m.waiting_share.get_or_insert(0.25);
-            *share += ANSWER_WEIGHT * (waiting - *share);
+            *share += ANSWER_WEIGHT.max(1.0 / (m.seen + 4.0)) * (waiting - *share);
             let running = (reading.held.unwrap_or(0.0) - reading.queue.unwrap_or(0.0)).max(0.0);
             let shown = reading.free_slots.unwrap_or(0.0) + running;
             self.fleet.slots[e] = self.fleet.slots[e].max(shown.round());
