--- a/src/rules.rs
+++ b/src/rules.rs
@@ -17,8 +17,6 @@
 
 /// Weight of one answer in the smoothed share of executors with work waiting: about the last hundred answers.
 const ANSWER_WEIGHT: f64 = 0.01;
-/// How old readings are taken to be where half of them show a queue.
-const AGE_AT_HALF: Millis = 200.0;
 /// Weight of one ended allocation in a running time: about the last thirty.
 const RUN_WEIGHT: f64 = 0.03;
 const RECOMPUTE_EVERY: Millis = 1000.0;
@@ -53,23 +51,14 @@
 const PICKS: usize = 40;
 /// From this smoothed share of answers with a queue on, room is short everywhere, also where none is held.
 const SHORT_SHARE: f64 = 0.3;
-/// Waiting rooms are small where executors turn away over this share of the allocations.
-const SMALL_ROOMS: f64 = 0.04;
-/// An executor that breaks off so soon after it began a work unit may have done so because of it.
+/// A reset so soon, before any start, is the connection's.
 const BROKE_WITHIN: Millis = 150.0;
 /// Where idle connections are dropped unseen, none is used again that was idle for longer; for so long, as then
 /// nothing more is learned.
 const LEAST_IDLE: Millis = 200.0;
 const DROPS_FOR: Millis = 30_000.0;
-/// A way is long from this part of the shortest promised turnaround on.
-const LONG_WAY: f64 = 0.1;
 /// Chance that an executor elsewhere is ready, where crossing is priced.
 const FAR: f64 = 0.3;
-/// Where only drains bind, an executor that the list dropped without one is drawn for so long.
-const SPARED: Millis = 30_000.0;
-/// An executor that completed work so lately serves, whatever its probes say; they are left out a while.
-const WORKED: Millis = 2000.0;
-const UNPROBED: Millis = 1000.0;
 
 struct ProjectType {
     effect: Effect,
@@ -123,8 +112,6 @@
     own_out: Vec<f64>,
     /// Smoothed running time of all work: what an older reading shows has mostly ended by then.
     mean_run: Millis,
-    /// Smoothed share of own allocations that were turned away as full.
-    full_share: f64,
     /// Own outcomes of late, fading, and when that was counted.
     met: (f64, Millis),
     /// This node's part of what all share.
@@ -136,14 +123,6 @@
     cold_spent: Vec<Vec<(Millis, f64)>>,
     /// When a connection there was last used by an allocation.
     used: Vec<Millis>,
-    /// Until when one that the list dropped is still drawn, and when it last answered without a fault since.
-    spared: Vec<Millis>,
-    heard: Vec<Millis>,
-    /// When it last completed work, and until when its probes are left out as they fail all the same.
-    worked: Vec<Millis>,
-    unprobed: Vec<Millis>,
-    /// How long its last probe's answer took, and when that was.
-    way: Vec<(Millis, Millis)>,
 }
 
 #[derive(Clone, Copy)]
@@ -155,13 +134,11 @@
     /// When it started, where that was told.
     begun: Millis,
     outcome: Option<Outcome>,
-    /// Whether its executor broke off right after it had begun.
-    broke: bool,
 }
 
 impl Alloc {
     fn new(executor: ExecutorId, sent: Millis, idle: Millis) -> Self {
-        Alloc { executor, sent, idle, begun: f64::NEG_INFINITY, outcome: None, broke: false }
+        Alloc { executor, sent, idle, begun: f64::NEG_INFINITY, outcome: None }
     }
 }
 
@@ -218,12 +195,9 @@
     at: Millis,
     waiting_share: Option<f64>,
     seen: f64,
-    /// Answers of late, fading, and when that was counted.
-    answers: (f64, Millis),
     lag: Option<Millis>,
-    /// What the quicker ones take, and what is long for work that wants to be done soon.
+    /// What the quicker ones take.
     quick_lag: Option<Millis>,
-    long_way: Millis,
     price: f64,
 }
 
@@ -266,8 +240,6 @@
     copies: bool,
     following: Following,
     beside_until: Millis,
-    /// Whether only drains bind, and not that the list calls an executor gone.
-    gone_may_serve: bool,
     log: Vec<String>,
 }
 
@@ -313,11 +285,6 @@
             self.probe_out.push(false);
             self.cold_spent.push(Vec::new());
             self.used.push(f64::NEG_INFINITY);
-            self.spared.push(0.0);
-            self.heard.push(f64::NEG_INFINITY);
-            self.worked.push(f64::NEG_INFINITY);
-            self.unprobed.push(0.0);
-            self.way.push((0.0, f64::NEG_INFINITY));
         }
         if self.listed[e].started != entry.started {
             self.cold_spent[e].clear();
@@ -326,9 +293,8 @@
         self.listed[e] = *entry;
     }
 
-    fn is_ready(&self, e: usize, now: Millis) -> bool {
-        let phase = self.listed[e].phase;
-        phase == Phase::Healthy || (phase == Phase::Gone && now < self.spared[e])
+    fn is_ready(&self, e: usize) -> bool {
+        self.listed[e].phase == Phase::Healthy
     }
 
     /// How long distrust stands, so that it outlives the time until the next meeting.
@@ -341,7 +307,6 @@
     /// Something failed there. Guards against an executor that fails at once and that each of many nodes
     /// meets once in seconds: by the time it is met again, nothing would be left of what it did.
     fn fault(&mut self, e: usize, now: Millis) {
-        self.heard[e] = f64::NEG_INFINITY;
         self.add_distrust(e, now, (self.fade(now) / DISTRUST_FADE).min(MOST_FAULT));
     }
 
@@ -408,7 +373,7 @@
             probes_wanted: Vec::new(),
             wakes: BTreeSet::new(),
             wake_set: f64::INFINITY,
-            monitoring: Monitoring { draws: 2, at: now, long_way: f64::INFINITY, ..Monitoring::default() },
+            monitoring: Monitoring { draws: 2, at: now, ..Monitoring::default() },
             idle_stated: 0.0,
             drops_until: 0.0,
             talks: false,
@@ -416,7 +381,6 @@
             copies: false,
             following: Following { ask_at, stood: false, failures: 0, ask_every: 0.0 },
             beside_until: 0.0,
-            gone_may_serve: false,
             log: Vec::new(),
         };
         this.retune(now, &values);
@@ -496,20 +460,11 @@
     }
 
     fn on_list(&mut self, now: Millis, kind: ListKind, entries: &[Listing]) {
-        let before: Vec<Phase> = self.fleet.listed.iter().map(|l| l.phase).collect();
         if matches!(kind, ListKind::Whole | ListKind::Saved) {
             self.fleet.listed.iter_mut().for_each(|l| l.phase = Phase::Gone);
         }
         entries.iter().for_each(|entry| self.fleet.list(entry));
-        // Guards against a list that drops executors that serve: where only drains bind, they are asked.
-        for (e, was) in before.into_iter().enumerate() {
-            match (was, self.fleet.listed[e].phase) {
-                (Phase::Healthy, Phase::Gone) if self.gone_may_serve => self.fleet.spared[e] = now + SPARED,
-                (Phase::Draining, _) | (_, Phase::Draining) => self.fleet.spared[e] = 0.0,
-                _ => {}
-            }
-        }
-        self.list_ready(now);
+        self.list_ready();
         let heard = matches!(kind, ListKind::Whole | ListKind::Changes);
         self.following.stood |= heard;
         if heard && self.following.failures > 0 {
@@ -521,7 +476,7 @@
             let Some(w) = self.wus.get(&wu) else { continue };
             if let Wanted::Out(executor, _, allocs) = w.wanted
                 && w.allocs.len() < allocs
-                && !self.fleet.is_ready(executor.0 as usize, now)
+                && !self.fleet.is_ready(executor.0 as usize)
             {
                 self.fleet.own_change(executor.0 as usize, now, -w.slots);
                 self.draw(now, wu);
@@ -530,9 +485,9 @@
     }
 
     /// Who may be drawn.
-    fn list_ready(&mut self, now: Millis) {
+    fn list_ready(&mut self) {
         let f = &self.fleet;
-        let ready = f.listed.iter().filter(|l| f.is_ready(l.executor.0 as usize, now)).map(|l| l.executor);
+        let ready = f.listed.iter().filter(|l| f.is_ready(l.executor.0 as usize)).map(|l| l.executor);
         self.fleet.healthy = ready.collect();
         self.fleet.ring.clear();
     }
@@ -541,11 +496,8 @@
         let e = executor.0 as usize;
         let Some(_) = self.fleet.listed.get(e) else { return };
         self.fleet.probe_out[e] = false;
-        let works = now - self.fleet.worked[e] < WORKED;
         if let Some((lag, reading)) = answer {
             let m = &mut self.monitoring;
-            m.answers = (faded(m.answers, now, SPAN) + 1.0, now);
-            self.fleet.way[e] = (lag, now);
             let usual = m.lag.get_or_insert(lag);
             *usual += 0.05 * (lag - *usual);
             let quick = m.quick_lag.get_or_insert(lag);
@@ -562,15 +514,6 @@
                 self.fleet.reading[e] = reading;
                 self.fleet.read_at[e] = now;
             }
-            // Guards against pushing over what died and came back with no list to tell of it: one that was
-            // dropped, and not heard of for half the span in which one falls, may be cold.
-            if self.fleet.listed[e].phase == Phase::Gone && now - self.fleet.heard[e] > self.cold.fall / 2.0 {
-                self.fleet.listed[e].started = Some(now);
-            }
-            self.fleet.heard[e] = now;
-        } else if works {
-            // Guards against probes that fail at executors that serve: they are no fault and cost only time.
-            self.fleet.unprobed[e] = now + UNPROBED;
         } else {
             self.fleet.fault(e, now);
         }
@@ -579,8 +522,7 @@
             let asked = w.drawn.iter().take(w.probed).position(|x| *x == executor);
             let Some(nth) = asked.filter(|_| w.wanted == Wanted::Probed) else { continue };
             let last = nth + 1 >= w.probed || w.probed > w.drawn.len();
-            let reading = answer.map(|(_, reading)| reading).or(works.then(Reading::default));
-            w.answers.extend(reading.map(|reading| (executor, reading)));
+            w.answers.extend(answer.map(|(_, reading)| (executor, reading)));
             // With no queue, no crossing and no own work, those still to be probed could at best tie; where
             // probes are priced, an emptier one would not be worth one more.
             let rank = answer.map(|(_, reading)| self.rank(now, &self.wus[&wu], executor, &reading));
@@ -600,8 +542,7 @@
         let (executor, e, sent) = (a.executor, a.executor.0 as usize, a.sent);
         let (idle, quick) = (a.idle, outcome == Outcome::Reset && now - sent < BROKE_WITHIN);
         let dropped = quick && a.begun == f64::NEG_INFINITY && idle < self.idle_stated;
-        let broke = outcome == Outcome::Reset && now - a.begun < BROKE_WITHIN && self.fleet.is_ready(e, now);
-        (a.outcome, a.broke) = (Some(outcome), broke);
+        a.outcome = Some(outcome);
         let another_out = w.is_out();
         let (project_type, slots) = (w.project_type, w.slots);
         self.fleet.own_change(e, now, -slots);
@@ -616,10 +557,7 @@
         if !outcome.never_ran() {
             self.fleet.used[e] = now;
         }
-        let full = f64::from(outcome == Outcome::Full);
-        self.fleet.full_share += RUN_WEIGHT * (full - self.fleet.full_share);
         if outcome == Outcome::Completed {
-            (self.fleet.worked[e], self.fleet.heard[e]) = (now, now);
             // Guards against fresh executors that stay idle: that one is slow while it is cold says nothing
             // of how it does, and nothing of how much work a work unit is. Few nodes gain by going
             // elsewhere.
@@ -638,8 +576,6 @@
             self.forget(wu)
         } else if another_out {
             // What follows is for the copy that is still out, or in the making, to say.
-        } else if broke && self.may_resend(now, &self.wus[&wu]).0 != Resend::Never {
-            self.probe(now, wu, vec![executor])
         } else {
             self.draw(now, wu)
         }
@@ -794,7 +730,7 @@
             Resend::Never => false,
             Resend::Like(other) => shares(&listed[e]) == shares(&listed[other.0 as usize]),
         };
-        let able = kind.only_kind.is_none_or(|k| k == listed[e].kind) && self.fleet.is_ready(e, now);
+        let able = kind.only_kind.is_none_or(|k| k == listed[e].kind) && self.fleet.is_ready(e);
         in_scope && able && self.cold_room(e, now) >= self.cost(w)
     }
 
@@ -806,11 +742,7 @@
         let e = executor.0 as usize;
         let warmth = self.warmth(e, now).powf(if self.shown_short() { 0.5 } else { 1.0 });
         let elsewhere = self.home.is_some_and(|home| self.fleet.listed[e].place != home);
-        // Guards against executors that are slow to reach for this node alone, which no queue shows: work pays
-        // their way twice, for the probe and for itself.
-        let (way, at) = self.fleet.way[e];
-        let slow = way > self.monitoring.long_way && now - at < LONGEST_FADE;
-        let far = FAR.powi(i32::from(elsewhere) + i32::from(slow));
+        let far = FAR.powi(i32::from(elsewhere));
         let chance = far * warmth * (-faded(self.fleet.failed[e], now, self.fleet.fade(now))).exp();
         chance > 0.98 || self.rng.random::<f64>() < chance
     }
@@ -914,10 +846,6 @@
         };
         w.probed += 1;
         let e = executor.0 as usize;
-        if now < self.fleet.unprobed[e] {
-            w.answers.push((executor, Reading::default()));
-            return self.probe_next(now, wu);
-        }
         if !self.fleet.probe_out[e] && self.fleet.awaiting[e].is_empty() {
             self.probes_wanted.push(executor);
         }
@@ -938,29 +866,12 @@
         (queue, crossed, -free / self.fleet.slots_of(e))
     }
 
-    /// About how many probes of other nodes see the same reading as one of ours: they probe as often as this
-    /// node, and a reading is taken to be the older the more queues show, as pushes only go where none does.
-    fn others_at_a_reading(&self, now: Millis) -> f64 {
-        let m = &self.monitoring;
-        let age = AGE_AT_HALF * (2.0 * m.waiting_share.unwrap_or(0.0)).powi(4);
-        let own = faded(m.answers, now, SPAN) / SPAN;
-        (self.nodes - 1.0) * own * age / self.fleet.healthy.len().max(1) as f64
-    }
-
     /// With all answers in, the best of those drawn; among equal ones chance decides.
     fn choose(&mut self, now: Millis, wu: WuId) {
-        let Some(w) = self.wus.get_mut(&wu) else { return };
+        let Some(w) = self.wus.get(&wu) else { return };
         if w.is_out() && w.allocs.last().is_some_and(|a| w.drawn == [a.executor]) {
             return self.look_after(now, wu);
         }
-        // Guards against work that brings down whatever executor begins it: it would take the next one, too.
-        // Where only a connection broke, the executor answers.
-        if let Some(a) = w.allocs.last_mut().filter(|a| a.broke) {
-            a.broke = false;
-            let lives = w.answers.iter().any(|(_, reading)| *reading != Reading::default());
-            return if lives { self.draw(now, wu) } else { self.give_up(now, wu) };
-        }
-        let Some(w) = self.wus.get(&wu) else { return };
         let mut best: Vec<ExecutorId> = Vec::new();
         let mut least = (f64::INFINITY, true, 0.0);
         for (executor, reading) in w.answers.iter().filter(|(x, _)| self.allowed(now, w, *x)) {
@@ -974,20 +885,11 @@
             }
         }
         let (draws, answered) = (w.draws, !best.is_empty());
-        // Guards against work deferred in front of executors that hardly queue any: where many turn away what
-        // they cannot start, a queue of one is the longest that may be met. Where queues grow it stays shut.
-        let small = self.fleet.full_share > SMALL_ROOMS;
-        let mut long = least.0 >= if small { 1.5 } else { 0.5 };
-        if answered && !long && !small {
-            // Guards against the herd of all nodes on one reading: with as many of them as have seen it, each
-            // takes what it shows free by a chance that lets about that much through.
-            let free = -least.2 * self.fleet.slots_of(best[0].0 as usize);
-            long = self.rng.random::<f64>() * self.others_at_a_reading(now) * w.slots > free;
-        }
+        let long = least.0 >= 0.5;
         if !answered && draws >= 2 {
             // No answer at all: one more draw, then one of the ready at random.
             let any = self.pick(now, wu, &[]);
-            best.extend(any.filter(|x| self.fleet.listed[x.0 as usize].phase == Phase::Healthy));
+            best.extend(any);
         } else if answered && long && (draws >= 2 || self.room_is_short()) {
             // Every answer is long: one more draw, then a short hold, as what is in a queue cannot be moved.
             return self.hold(now, wu);
@@ -1050,15 +952,13 @@
         let m = &mut self.monitoring;
         let Some(share) = m.waiting_share.filter(|_| now - m.at >= RECOMPUTE_EVERY) else { return };
         m.at = now;
-        self.list_ready(now);
+        self.list_ready();
         let more = |e: usize| self.warmth(e, now) < 1.0 && self.cold_part(e) * self.nodes > 1.0;
         let dealt = self.fleet.healthy.iter().copied().filter(|x| more(x.0 as usize)).collect();
         self.fleet.dealt = dealt;
         let shown = self.fleet.slots.iter().copied().filter(|&slots| slots > 0.0);
         self.fleet.least_slots = shown.min_by(f64::total_cmp).unwrap_or(1.0);
         let m = &mut self.monitoring;
-        let soonest = self.types.iter().map(|kind| kind.turnaround).fold(f64::INFINITY, f64::min);
-        m.long_way = LONG_WAY * soonest + 4.0 * m.quick_lag.unwrap_or(0.0);
         // The design's C, probe latency over running time, and what the settings charge for a probe as a
         // share of what a work unit earns.
         let cost = m.lag.unwrap_or(0.0) / self.fleet.mean_run.max(1.0) + m.price;
--- a/src/rules/retune.rs
+++ b/src/rules/retune.rs
@@ -42,7 +42,6 @@
             multiple: values.number("rules.fall_multiple", 1.0),
             node: values.holds("node").then_some(values.number("node", 0.0) as u64),
         };
-        self.gone_may_serve = values.flag("rules.gone_may_serve");
         self.come_back_told = values.flag("limits.come_back_told");
         self.home = (values.number("prices.cross_place", 0.0) > 0.0)
             .then_some(PlaceId(values.number("place", 0.0) as u32));
