The cold budget is dealt to as many nodes as it holds long work, by settings alone

A part of one in eight of 0.8 x 2.5 x 0.15 x 5 slots x 3 s is 560 slot-ms, less than any work unit takes, so successors stay idle until half warm. Eight was measured where work takes 0.1 to 0.5 s. It follows from the settings, as all nodes must have the same.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -37,9 +37,11 @@
 const MEETINGS: f64 = 4.0;
 const LONGEST_FADE: Millis = 30_000.0;
 const MOST_FAULT: f64 = 3.0;
-/// Part of the cold budget that is used, as only mean running times are known; to so many nodes it is dealt.
+/// Part of the cold budget that is used, as only mean running times are known. It is dealt to so many nodes for
+/// each time that a slot's part, right after the start, holds the longest promised turnaround; at most to these.
 const COLD_HEADROOM: f64 = 0.8;
-const DEALT: u64 = 8;
+const DEALT_A_TIME: f64 = 1.5;
+const MOST_DEALT: f64 = 8.0;
 /// A receipted work unit is resent only this part into its window, for the way there and clocks that differ.
 const WINDOW_MARGIN: f64 = 0.8;
 /// Part of the time that a mean work unit has to spare within its promised turnaround; short ones have less.
@@ -82,8 +84,10 @@
     ramp: Millis,
     fall: Millis,
     multiple: f64,
-    /// This node's number, if it is told.
+    /// This node's number, if it is told, and how many nodes a budget is dealt to: by settings alone, as all
+    /// must have it alike.
     node: Option<u64>,
+    dealt: f64,
 }
 
 /// What is known of executors, in parallel arrays under the executor's number.
@@ -696,7 +700,7 @@
     /// This node's part of an executor's cold budget. It is dealt to few nodes that follow from the executor
     /// alone: all together stay under the whole, and among hundreds a part is still more than a work unit.
     fn cold_part(&self, e: usize) -> f64 {
-        let (nodes, dealt) = (self.nodes as u64, DEALT.min(self.nodes as u64));
+        let (nodes, dealt) = (self.nodes as u64, self.cold.dealt as u64);
         let Some(node) = self.cold.node else { return 1.0 / self.nodes };
         let place = (node % nodes + nodes - self.fleet.listed[e].token % nodes) % nodes;
         if place < dealt { 1.0 / dealt as f64 } else { 0.0 }
@@ -768,7 +772,7 @@
     /// that are allowed are ready; those that `but` names come only where there is no other.
     fn pick(&mut self, now: Millis, wu: WuId, but: &[ExecutorId]) -> Option<ExecutorId> {
         // The few nodes to which a cold one's budget is dealt draw it for all the others too.
-        let dealt = self.fleet.dealt.len() as f64 * (self.nodes / DEALT as f64 - 1.0);
+        let dealt = self.fleet.dealt.len() as f64 * (self.nodes / self.cold.dealt - 1.0);
         let to_dealt = dealt / (dealt + self.fleet.healthy.len().max(1) as f64);
         // Guards against work that grows with the fleet: a healthy one at random, then whether it is ready.
         for _ in 0..if self.fleet.healthy.is_empty() { 0 } else { PICKS } {
@@ -794,7 +798,7 @@
 
     /// Whether there are more nodes than a cold budget is dealt to, so that small parts of it hold each back.
     fn are_many(&self) -> bool {
-        self.nodes > DEALT as f64
+        self.nodes > MOST_DEALT
     }
 
     /// Whether answers show that room is short everywhere, which a node of few sees by what it holds.
--- a/src/rules/retune.rs
+++ b/src/rules/retune.rs
@@ -41,7 +41,11 @@
             fall: values.number("rules.fall", 0.0),
             multiple: values.number("rules.fall_multiple", 1.0),
             node: values.holds("node").then_some(values.number("node", 0.0) as u64),
+            dealt: 1.0,
         };
+        let longest = self.types.iter().map(|kind| kind.turnaround).fold(1.0, f64::max);
+        let times = self.cold.multiple * self.cold.share * self.cold.fall / longest;
+        self.cold.dealt = (DEALT_A_TIME * times).round().clamp(1.0, MOST_DEALT).min(self.nodes);
         self.come_back_told = values.flag("limits.come_back_told");
         self.home = (values.number("prices.cross_place", 0.0) > 0.0)
             .then_some(PlaceId(values.number("place", 0.0) as u32));
