--- a/src/rules.rs
+++ b/src/rules.rs
@@ -351,7 +351,7 @@
         // Guards against readings that come late, stand still or are missing: what is out there is there.
         let part = if blind { self.part } else { 1.0 };
         let own = (self.slots_of(e) * part).max(slots) - self.own_out[e];
-        let free = if blind { own } else { (free - self.unseen(e, now)).min(own) };
+        let free = if blind { own } else { free - self.unseen(e, now) };
         let waiting = if blind { 0.0 } else { waiting };
         ((waiting + (slots - free).max(0.0)).round(), free)
     }
