--- a/src/rules.rs
+++ b/src/rules.rs
@@ -69,7 +69,6 @@
     turnaround: Millis,
     stretch: f64,
     limit: Millis,
-    credit: f64,
     only_kind: Option<MachineKindId>,
     most_allocs: usize,
     /// Smoothed running time; the promised turnaround stands in until an allocation has ended.
@@ -216,8 +215,6 @@
     rng: ChaCha8Rng,
     types: Vec<ProjectType>,
     shares: Vec<Share>,
-    credit_over: f64,
-    by_work: bool,
     cold: ColdRule,
     nodes: f64,
     come_back_told: bool,
@@ -364,8 +361,6 @@
             rng: ChaCha8Rng::seed_from_u64(seed),
             types: Vec::new(),
             shares: Vec::new(),
-            credit_over: 1.0,
-            by_work: false,
             cold: ColdRule::default(),
             nodes: 1.0,
             come_back_told: false,
@@ -936,16 +931,11 @@
         self.want(wu, Wanted::Held, (now + patience / 2.0).min(until));
     }
 
-    /// An own allocation has ended: the held work unit that earns most for its work asks for room there.
+    /// An own allocation has ended: the work unit that was held longest asks for room there, what is within its
+    /// customer's share and takes few slots first. None goes by its credit: the type that is served worst counts as much as all.
     fn room_at(&mut self, now: Millis, executor: ExecutorId) {
-        let earns = |wu: &WuId| {
-            let w = &self.wus[wu];
-            let part = if w.over { self.credit_over } else { 1.0 };
-            let kind = &self.types[w.project_type];
-            part * kind.credit * if self.by_work { kind.run } else { 1.0 } / self.cost(w).max(1e-3)
-        };
-        // The first of equals is wanted, so the search goes from the newest to the longest held.
-        let best = self.held.iter().rev().max_by(|a, b| earns(a).total_cmp(&earns(b))).copied();
+        let first = |wu: &&WuId| (self.wus[wu].over, self.wus[wu].slots as u64);
+        let best = self.held.iter().min_by_key(first).copied();
         if let Some(wu) = best.filter(|wu| self.allowed(now, &self.wus[wu], executor)) {
             self.probe(now, wu, vec![executor]);
         }
