The cold budget goes by the size of the kind where the list lowers sizes with load

The largest size that the list shows of a kind is steady and near the capacity (7.5, 5 and 4 for 5 x 1.5, 5 x 1 and 7 x 0.57).

--- a/crates/hosting/src/naming.rs
+++ b/crates/hosting/src/naming.rs
@@ -50,6 +50,7 @@
     ("tariffs.late_fail", "prices.late_abort", Number),
     ("tariffs.probe", "prices.probe", Number),
     ("tariffs.waste", "prices.waste", Number),
+    ("weight_source", "list_sizes", Text),
     ("zone", "place", Number),
 ];
 
@@ -62,6 +63,7 @@
     ("repeat_scope", "cell", "group"),
     ("list_mode", "subscribe", "asked"),
     ("list_mode", "automatic", "told"),
+    ("list_sizes", "live", "falling"),
     ("credit_by", "request", "work_unit"),
 ];
 
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -97,6 +97,9 @@
     failed: Vec<(f64, Millis)>,
     /// How many outcomes it was made of, fading alike.
     judged: Vec<(f64, Millis)>,
+    /// Where sizes fall with load: the largest that the list has shown of each kind of machine.
+    falling: bool,
+    kind_sizes: Vec<f64>,
     /// The most slots that reports have shown, and the least of these; it stands in where none are shown yet.
     slots: Vec<f64>,
     least_slots: f64,
@@ -292,6 +295,11 @@
             self.failed[e] = (0.0, 0.0);
         }
         self.listed[e] = *entry;
+        let kind = entry.kind.0 as usize;
+        if self.falling && entry.phase == Phase::Healthy {
+            self.kind_sizes.resize(self.kind_sizes.len().max(kind + 1), 0.0);
+            self.kind_sizes[kind] = self.kind_sizes[kind].max(entry.size);
+        }
     }
 
     fn is_ready(&self, e: usize) -> bool {
@@ -339,6 +347,13 @@
         if self.slots[e] > 0.0 { self.slots[e] } else { self.least_slots }
     }
 
+    /// What an executor can do when warm, in slots of a typical one. Its size is taken where the list lowers it
+    /// with load, as reports that leave out the work in hand hardly ever show all slots.
+    fn capacity(&self, e: usize) -> f64 {
+        let size = self.kind_sizes.get(self.listed[e].kind.0 as usize).copied().unwrap_or(0.0);
+        if size > 0.0 { size } else { self.slots_of(e) }
+    }
+
     /// The queue that a work unit would stand in, with the slots that it lacks there now; and the free slots.
     fn queue_for(&self, e: usize, now: Millis, slots: f64, reading: &Reading) -> (f64, f64) {
         let waiting = reading.queue.or(reading.held).unwrap_or(0.0);
@@ -708,7 +723,7 @@
         if warm_then >= 1.0 {
             return f64::INFINITY;
         }
-        let whole = self.cold.multiple * warm_then * self.fleet.slots_of(e) * fall;
+        let whole = self.cold.multiple * warm_then * self.fleet.capacity(e) * fall;
         let spent = self.fleet.cold_spent[e].iter().filter(|&&(at, _)| at >= now - fall);
         // Two processes of this node push at once, or did of late: each to half of its part.
         let half = if now < self.beside_until { 0.5 } else { 1.0 };
--- a/src/rules/retune.rs
+++ b/src/rules/retune.rs
@@ -47,6 +47,7 @@
         self.home = (values.number("prices.cross_place", 0.0) > 0.0)
             .then_some(PlaceId(values.number("place", 0.0) as u32));
         self.monitoring.price = values.number("prices.probe", 0.0);
+        self.fleet.falling = values.text("list_sizes") == "falling";
         self.idle_stated = values.number("limits.idle_connection", 0.0);
         self.talks = values.flag("limits.peers");
         self.copies = values.flag("limits.second_copies") && values.flag("executors.tell_start");
