--- a/src/rules.rs
+++ b/src/rules.rs
@@ -13,7 +13,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use ring::Ring;
-use std::collections::{BTreeSet, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 
 /// Weight of one answer in the smoothed share of executors with work waiting: about the last hundred answers.
 const ANSWER_WEIGHT: f64 = 0.01;
@@ -95,6 +95,8 @@
     listed: Vec<Listing>,
     /// Score for what failed there, and when it was set.
     failed: Vec<(f64, Millis)>,
+    /// The same for each project type that it turned away though it had shown room.
+    turned_away: Vec<BTreeMap<usize, (f64, Millis)>>,
     /// How many outcomes it was made of, fading alike.
     judged: Vec<(f64, Millis)>,
     /// Where sizes fall with load: the largest that the list has shown of each kind of machine.
@@ -280,6 +282,7 @@
             self.listed.push(Listing { phase: Phase::Gone, started: None, ..*entry });
             self.failed.push((0.0, 0.0));
             self.judged.push((0.0, 0.0));
+            self.turned_away.push(BTreeMap::new());
             self.slots.push(0.0);
             self.reading.push(Reading::default());
             self.read_at.push(0.0);
@@ -293,6 +296,7 @@
         if self.listed[e].started != entry.started {
             self.cold_spent[e].clear();
             self.failed[e] = (0.0, 0.0);
+            self.turned_away[e].clear();
         }
         self.listed[e] = *entry;
         let kind = entry.kind.0 as usize;
@@ -565,6 +569,11 @@
         if dropped {
             // Its connection was gone before: no fault of the executor.
             self.on_dropped(now, true);
+        } else if outcome == Outcome::Full {
+            // Guards against executors that take all but one project type: what else they do says nothing of it.
+            let fade = self.fleet.fade(now);
+            let (score, at) = self.fleet.turned_away[e].entry(project_type).or_insert((0.0, now));
+            (*score, *at) = (faded((*score, *at), now, fade) + (fade / DISTRUST_FADE).min(MOST_FAULT), now);
         } else if !matches!(outcome, Outcome::Completed | Outcome::NotSent | Outcome::Cancelled) {
             self.fleet.fault(e, now);
         }
@@ -752,12 +761,15 @@
     /// ramp and the lowest start that can be. Where many nodes see room short, and small parts of the
     /// budget hold each of them back, chance goes by the square root of that, which is about what executors
     /// show.
-    fn let_through(&mut self, now: Millis, executor: ExecutorId) -> bool {
+    fn let_through(&mut self, now: Millis, wu: WuId, executor: ExecutorId) -> bool {
         let e = executor.0 as usize;
+        let fade = self.fleet.fade(now);
+        let project_type = self.wus.get(&wu).map_or(0, |w| w.project_type);
+        let turned_away = self.fleet.turned_away[e].get(&project_type).copied().unwrap_or_default();
         let warmth = self.warmth(e, now).powf(if self.shown_short() { 0.5 } else { 1.0 });
         let elsewhere = self.home.is_some_and(|home| self.fleet.listed[e].place != home);
         let far = FAR.powi(i32::from(elsewhere));
-        let chance = far * warmth * (-faded(self.fleet.failed[e], now, self.fleet.fade(now))).exp();
+        let chance = far * warmth * (-faded(self.fleet.failed[e], now, fade) - faded(turned_away, now, fade)).exp();
         chance > 0.98 || self.rng.random::<f64>() < chance
     }
 
@@ -771,7 +783,7 @@
         }
         for k in 0..PICKS {
             let x = self.fleet.ring.nth(key, k)?;
-            if !but.contains(&x) && self.allowed(now, self.wus.get(&wu)?, x) && self.let_through(now, x) {
+            if !but.contains(&x) && self.allowed(now, self.wus.get(&wu)?, x) && self.let_through(now, wu, x) {
                 return Some(x);
             }
         }
@@ -788,7 +800,7 @@
         for _ in 0..if self.fleet.healthy.is_empty() { 0 } else { PICKS } {
             let of = if self.rng.random_bool(to_dealt) { &self.fleet.dealt } else { &self.fleet.healthy };
             let x = of[self.rng.random_range(0..of.len())];
-            if !but.contains(&x) && self.allowed(now, self.wus.get(&wu)?, x) && self.let_through(now, x) {
+            if !but.contains(&x) && self.allowed(now, self.wus.get(&wu)?, x) && self.let_through(now, wu, x) {
                 return Some(x);
             }
         }
