Chance by the root of the warmth always, cold running times never count, one form of a reading

Cause: two conditions on the number of nodes that earned nothing at any site that stands, and a path for answers without a reading, which the guard against failing probes had made.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -361,14 +361,8 @@
     /// The queue that a work unit would stand in, with the slots that it lacks there now; and the free slots.
     fn queue_for(&self, e: usize, now: Millis, slots: f64, reading: &Reading) -> (f64, f64) {
         let waiting = reading.queue.or(reading.held).unwrap_or(0.0);
-        let blind = *reading == Reading::default();
-        let free = reading.free_slots.or((blind && self.slots[e] > 0.0).then_some(0.0));
-        let Some(free) = free else { return (waiting.round(), f64::INFINITY) };
-        // Guards against readings that come late, stand still or are missing: what is out there is there.
-        let part = if blind { self.part } else { 1.0 };
-        let own = (self.slots_of(e) * part).max(slots) - self.own_out[e];
-        let free = if blind { own } else { free - self.unseen(e, now) };
-        let waiting = if blind { 0.0 } else { waiting };
+        let Some(free) = reading.free_slots else { return (waiting.round(), f64::INFINITY) };
+        let free = free - self.unseen(e, now);
         ((waiting + (slots - free).max(0.0)).round(), free)
     }
 }
@@ -582,9 +576,8 @@
         }
         if outcome == Outcome::Completed {
             // Guards against fresh executors that stay idle: that one is slow while it is cold says nothing
-            // of how it does, and nothing of how much work a work unit is. Few nodes gain by going
-            // elsewhere.
-            let warmth = if self.are_many() { self.warmth(e, sent) } else { 1.0 };
+            // of how it does, and nothing of how much work a work unit is.
+            let warmth = self.warmth(e, sent);
             let ran = (now - sent) * warmth;
             let kind = &mut self.types[project_type];
             if warmth >= 1.0 {
@@ -766,7 +759,7 @@
         let fade = self.fleet.fade(now);
         let project_type = self.wus.get(&wu).map_or(0, |w| w.project_type);
         let turned_away = self.fleet.turned_away[e].get(&project_type).copied().unwrap_or_default();
-        let warmth = self.warmth(e, now).powf(if self.shown_short() { 0.5 } else { 1.0 });
+        let warmth = self.warmth(e, now).sqrt();
         let elsewhere = self.home.is_some_and(|home| self.fleet.listed[e].place != home);
         let far = FAR.powi(i32::from(elsewhere));
         let chance = far * warmth * (-faded(self.fleet.failed[e], now, fade) - faded(turned_away, now, fade)).exp();
@@ -815,17 +808,8 @@
 
     /// Work is held, or answers show it: one of many nodes has too little work to hold some at most times.
     fn room_is_short(&self) -> bool {
-        !self.held.is_empty() || self.shown_short()
-    }
-
-    /// Whether there are more nodes than a cold budget is dealt to, so that small parts of it hold each back.
-    fn are_many(&self) -> bool {
-        self.nodes > MOST_DEALT
-    }
-
-    /// Whether answers show that room is short everywhere, which a node of few sees by what it holds.
-    fn shown_short(&self) -> bool {
-        self.are_many() && self.monitoring.waiting_share.unwrap_or(0.0) > SHORT_SHARE
+        let shown = self.monitoring.waiting_share.unwrap_or(0.0) > SHORT_SHARE;
+        !self.held.is_empty() || (shown && self.nodes > MOST_DEALT)
     }
 
     /// Draws d ready executors with replacement and wants a probe to each distinct one.
