Settings of the new shape in the node: second copies, nodes that talk, and mixes refused by key

Cause: a node was told of second copies, messages and sizes that fall with load by neither host. The driver stops each of several allocations by its number; [peers] of the operator's own file names where nodes hear each other, by datagrams that count only from named peers and in a form that is known; limits.second_copies beside one allocation or a ledger, limits.peers without [peers] or the other way round, an unknown weight_source and a number past all nodes are refused at start, and at SIGHUP, with one line that names the key. Without these keys nothing of it runs.

--- a/crates/daemon/src/briefing.rs
+++ b/crates/daemon/src/briefing.rs
@@ -12,7 +12,7 @@
 use tokio::signal::unix::Signal;
 use tokio::sync::{mpsc, watch};
 use troutknot::NamedValues;
-use troutknot_hosting::Catalogue;
+use troutknot_hosting::{Catalogue, named_values};
 
 /// A file that is longer is not read.
 const MOST_BYTES: u64 = 16 * 1024 * 1024;
@@ -99,7 +99,9 @@
                 let why = why.replace('\n', "; ");
                 tracing::warn!("new file of the operator not taken, the old one goes on: {why}");
             }
-            Ok(newer) => {
+            Ok(mut newer) => {
+                // What is read at the start alone.
+                (newer.peers, newer.durable) = (self.file.peers.clone(), self.file.durable.clone());
                 if newer.lists.sources != self.file.lists.sources {
                     tracing::info!("the sources of the list are kept as at the start");
                 }
@@ -163,7 +165,10 @@
             // Guards against a new file that is bad: it is checked to its end before anything of it is taken.
             let newer = match Briefing::read(&path) {
                 Ok(newer) => match newer.seed() {
-                    Ok(_) => retuned.take(&newer.settings).await.map(|()| newer),
+                    Ok(_) => match named_values(&newer.settings).and_then(|values| own.file.fits(&values)) {
+                        Ok(()) => retuned.take(&newer.settings).await.map(|()| newer),
+                        Err(why) => Err(why),
+                    },
                     Err(why) => Err(why),
                 }
                 .map_err(|why| format!("`{}`: {why}", path.display())),
--- a/crates/daemon/src/driver.rs
+++ b/crates/daemon/src/driver.rs
@@ -5,6 +5,7 @@
 use crate::executors::{Executors, Push};
 use crate::handover::Beside;
 use crate::handover::form::{self, Inherited, Message};
+use crate::peers::Peers;
 use crate::roster::Roster;
 use crate::stage::{Drain, Stages};
 use crate::words::{Entry, InForce, Vocabulary};
@@ -24,8 +25,8 @@
 struct Open {
     exchange: Rc<Exchange>,
     allocs: u32,
-    /// Stops the allocation that is out.
-    stop: Rc<Stop>,
+    /// Each stops one allocation, by its number.
+    stops: Vec<Rc<Stop>>,
     /// Where the last allocation went and when it was decided, for the log.
     pushed: Option<(ExecutorId, Instant)>,
 }
@@ -42,6 +43,8 @@
     /// Another process of this node, if one runs.
     beside: Rc<Beside>,
     roster: Roster,
+    /// The other nodes, where the settings let nodes talk.
+    peers: Option<Rc<Peers>>,
     open: BTreeMap<WuId, Open>,
     wake: Option<Instant>,
     out_of_time: bool,
@@ -56,6 +59,7 @@
         follow: Rc<Notify>,
         events: mpsc::Receiver<Event>,
         stages: Rc<Stages>,
+        peers: Option<Rc<Peers>>,
     ) -> Self {
         Driver {
             dispatcher,
@@ -68,6 +72,7 @@
             beside: executors.beside.clone(),
             executors,
             roster: Roster::default(),
+            peers,
             open: BTreeMap::new(),
             wake: None,
             out_of_time: false,
@@ -124,14 +129,12 @@
                     wu: exchange.wu,
                     project_type: work.project_type,
                     customer: work.customer,
-                    key: work.about,
                     slots: work.slots,
                     memory: work.memory,
                     left,
                     again: work.again,
                 };
-                self.open
-                    .insert(exchange.wu, Open { exchange, allocs: 0, stop: Rc::default(), pushed: None });
+                self.open.insert(exchange.wu, Open { exchange, allocs: 0, stops: Vec::new(), pushed: None });
                 told
             }
             Event::Recovered(exchange, earlier) => return self.recovered(now, exchange, earlier),
@@ -167,7 +170,8 @@
             Event::Retuned(values) => return self.dispatcher.retune(now, &values),
             Event::OutOfTime => {
                 self.out_of_time = true;
-                self.open.values().for_each(|open| open.stop.tell(Outcome::TimedOut));
+                let stops = self.open.values().flat_map(|open| &open.stops);
+                stops.for_each(|stop| stop.tell(Outcome::TimedOut));
                 return;
             }
             Event::End => {
@@ -350,25 +354,24 @@
                 let Some(open) = self.open.get_mut(&wu) else { return };
                 let alloc = AllocId(open.allocs);
                 open.allocs += 1;
-                open.stop = Rc::default();
+                let stop: Rc<Stop> = Rc::default();
                 if self.out_of_time {
-                    open.stop.tell(Outcome::TimedOut);
+                    stop.tell(Outcome::TimedOut);
                 }
+                open.stops.resize_with(alloc.0 as usize, Rc::default);
+                open.stops.push(stop.clone());
                 let cut = self.clock.when(cut_at).min(open.exchange.limit);
                 let decided = Instant::now();
                 open.pushed = Some((executor, decided));
-                let (exchange, stop) = (open.exchange.clone(), open.stop.clone());
+                let exchange = open.exchange.clone();
                 let name = exchange.durable.get().map(|_| self.numbers.name(executor).to_string());
                 tracing::debug!("push: alloc {} to {}", alloc.0, self.numbers.name(executor));
                 let push = Push { exchange, executor, name, alloc, decided, cut, stop };
                 tokio::task::spawn_local(self.executors.clone().allocate(push));
             }
             Action::Cancel { wu, alloc } => {
-                if let Some(open) = self.open.get_mut(&wu)
-                    && alloc.0 + 1 == open.allocs
-                {
-                    open.stop.tell(Outcome::Cancelled);
-                }
+                let stop = self.open.get(&wu).and_then(|open| open.stops.get(alloc.0 as usize));
+                stop.into_iter().for_each(|stop| stop.tell(Outcome::Cancelled));
             }
             Action::Defer { wu, come_back } => self.finish(wu, Answer::Deferred(come_back)),
             Action::Abort { wu } => self.finish(wu, Answer::Aborted),
@@ -381,7 +384,7 @@
                 self.wake = Some(self.wake.map_or(at, |wake| wake.min(at)));
             }
             Action::CloseIdle { executor } => self.executors.close_idle(executor),
-            Action::Tell(_) => {}
+            Action::Tell(said) => self.peers.iter().for_each(|peers| peers.tell(said)),
             Action::FollowList => self.follow.notify_one(),
             Action::Log(line) => tracing::info!("{line}"),
         }
--- a/crates/daemon/src/durable/mod.rs
+++ b/crates/daemon/src/durable/mod.rs
@@ -389,7 +389,6 @@
             body: Bytes::copy_from_slice(&sent.body),
             project_type,
             customer,
-            about: None,
             slots: sent.slots,
             memory: sent.memory,
             again: true,
--- a/crates/daemon/src/exchange.rs
+++ b/crates/daemon/src/exchange.rs
@@ -7,7 +7,7 @@
 use std::rc::Rc;
 use tokio::sync::Notify;
 use tokio::time::Instant;
-use troutknot::{CustomerId, KeyId, Millis, Outcome, ProjectTypeId, WuId};
+use troutknot::{CustomerId, Millis, Outcome, ProjectTypeId, WuId};
 
 /// What a client handed in.
 pub struct Work {
@@ -22,8 +22,6 @@
     pub body: Bytes,
     pub project_type: ProjectTypeId,
     pub customer: CustomerId,
-    /// What it is about, if the client says.
-    pub about: Option<KeyId>,
     pub slots: f64,
     pub memory: f64,
     pub again: bool,
@@ -167,7 +165,6 @@
             body: vec![0; bytes].into(),
             project_type: ProjectTypeId(0),
             customer: CustomerId(0),
-            about: None,
             slots: 1.0,
             memory: 0.0,
             again: false,
--- a/crates/daemon/src/executors/mod.rs
+++ b/crates/daemon/src/executors/mod.rs
@@ -526,7 +526,6 @@
             body: Bytes::new(),
             project_type: ProjectTypeId(0),
             customer: CustomerId(0),
-            about: None,
             slots: 1.0,
             memory: 0.0,
             again: false,
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -16,6 +16,7 @@
 mod management;
 mod operator;
 mod passed;
+mod peers;
 mod ring;
 mod roster;
 mod stage;
@@ -33,6 +34,7 @@
 use lists::{Told, merge::Merge};
 use management::Management;
 use operator::{Durably, OperatorFile, Source};
+use peers::Peers;
 use stage::{Drain, Stages, Way};
 use std::cell::RefCell;
 use std::net::SocketAddr;
@@ -120,6 +122,8 @@
     let Understood { seed, values, words } = told.understood(&mut catalogue)?;
     let own_path = OperatorFile::named();
     let file = own_path.as_deref().map(OperatorFile::read).transpose()?.unwrap_or_default();
+    file.fits(&values)?;
+    let peers = file.peers.clone().map(|p| Peers::listen(p.listen, p.nodes)).transpose()?;
     let limits = Rc::new(Limits::of(&Stated {
         memory_mb: told.limits.memory_mb,
         sockets: told.limits.sockets,
@@ -193,7 +197,11 @@
         follow.clone(),
         told_events,
         stages.clone(),
+        peers.clone(),
     );
+    if let Some(peers) = peers {
+        spawn_local(peers.hear(events.clone()));
+    }
     let version = told.known.as_ref().map(|known| known.version);
     let before = told.known.as_ref().map_or(Vec::new(), |known| known.entries.clone());
     if let Some(known) = told.known.take() {
--- a/crates/daemon/src/operator.rs
+++ b/crates/daemon/src/operator.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::time::Duration;
-use troutknot::Effect;
+use troutknot::{Effect, NamedValues};
 use troutknot_consul::blocking::{Consistency, Pace, Watched};
 use troutknot_consul::roster::{Damping, Panic, Terms};
 
@@ -11,6 +11,7 @@
 const MOST_BYTES: u64 = 1024 * 1024;
 const MOST_AGENTS: usize = 16;
 const MOST_SERVICES: usize = 64;
+const MOST_PEERS: usize = 1000;
 
 /// All that an operator may say; what is left out is as without the file.
 #[derive(Deserialize, Clone, Debug, PartialEq, Default)]
@@ -18,6 +19,15 @@
 pub struct OperatorFile {
     pub lists: Lists,
     pub durable: Option<Durably>,
+    pub peers: Option<Talking>,
+}
+
+/// Where this node hears the others, and where they hear it; read at the start alone.
+#[derive(Deserialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct Talking {
+    pub listen: SocketAddr,
+    pub nodes: Vec<SocketAddr>,
 }
 
 /// When the ledger syncs.
@@ -248,6 +258,26 @@
         Err(faults.iter().map(|fault| format!("`{shown}`: {fault}")).collect::<Vec<_>>().join("\n"))
     }
 
+    /// Whether the settings are of the shape that this file is for.
+    ///
+    /// # Errors
+    /// One plain line that names the key.
+    pub fn fits(&self, values: &NamedValues) -> Result<(), String> {
+        let (talks, copies) = (values.flag("limits.peers"), values.flag("limits.second_copies"));
+        match (talks, &self.peers) {
+            (true, None) => {
+                Err("setting `limits.peers`: true needs [peers] in the operator's own file".into())
+            }
+            (false, Some(_)) => Err("[peers] of the operator's own file: `limits.peers` is not true".into()),
+            _ if copies && self.durable.is_some() => {
+                Err("setting `limits.second_copies`: true cannot go with [durable] of the operator's own \
+                     file, which knows one allocation at a time"
+                    .into())
+            }
+            _ => Ok(()),
+        }
+    }
+
     fn faults(&self) -> Vec<String> {
         let mut faults = Vec::new();
         let mut must = |holds: bool, fault: &str| {
@@ -284,6 +314,11 @@
             let ordered = d.reuse > 0.0 && d.cutoff >= d.reuse && d.cutoff <= 100.0;
             must(ordered, "`lists.consul.damping` needs 0 < `reuse` <= `cutoff` <= 100");
         }
+        if let Some(p) = &self.peers {
+            let count = p.nodes.len();
+            must((1..=MOST_PEERS).contains(&count), "`peers.nodes` must name 1 to 1000 addresses");
+            must(p.listen.port() != 0, "`peers.listen` must name a port, as the others send there");
+        }
         if let Some(d) = &self.durable {
             let within = |span: Duration, least: f64, most: f64| (least..=most).contains(&span.as_secs_f64());
             must(!d.path.as_os_str().is_empty(), "`durable.path` is empty");
--- /dev/null
+++ b/crates/daemon/src/peers.rs
@@ -0,0 +1,70 @@
+//! What nodes tell one another, as datagrams between addresses that the operator's file names. They may be lost,
+//! late, doubled or forged: no rule rests on one, and what is not understood or comes from elsewhere is counted.
+use crate::events::Event;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::UdpSocket;
+use tokio::sync::mpsc;
+use tokio::time::Instant;
+use troutknot::{Event as Heard, Telling};
+use troutknot_hosting::{MOST_TOLD, telling, told};
+
+/// What was passed over is said in the log once in so long.
+const SAID_EVERY: Duration = Duration::from_secs(10);
+
+pub struct Peers {
+    socket: UdpSocket,
+    others: Vec<SocketAddr>,
+}
+
+impl Peers {
+    /// # Errors
+    /// Where the address cannot be had.
+    pub fn listen(at: SocketAddr, others: Vec<SocketAddr>) -> Result<Rc<Self>, String> {
+        let socket = std::net::UdpSocket::bind(at).and_then(|socket| {
+            socket.set_nonblocking(true)?;
+            UdpSocket::from_std(socket)
+        });
+        let socket = socket.map_err(|e| format!("`peers.listen`: cannot listen at {at}: {e}"))?;
+        Ok(Rc::new(Peers { socket, others: others.into_iter().filter(|other| *other != at).collect() }))
+    }
+
+    /// Tells all others. What finds no room on its way is dropped, as any of it may be.
+    pub fn tell(&self, said: Telling) {
+        let bytes = telling(said);
+        for other in &self.others {
+            let _ = self.socket.try_send_to(&bytes, *other);
+        }
+    }
+
+    /// Hears the others until the node ends.
+    pub async fn hear(self: Rc<Self>, events: mpsc::Sender<Event>) {
+        // One byte over the most shows what is longer.
+        let mut bytes = [0; MOST_TOLD + 1];
+        let (mut passed_over, mut said) = (0u64, Instant::now() - SAID_EVERY);
+        loop {
+            let Ok((length, from)) = self.socket.recv_from(&mut bytes).await else {
+                // An error of an earlier send, told by the network; the socket goes on.
+                tokio::task::yield_now().await;
+                continue;
+            };
+            let known = self.others.contains(&from);
+            match told(&bytes[..length]).filter(|_| known) {
+                Some(heard) => {
+                    // Guards against a crowd of messages: with no room for one, it is lost like any other.
+                    let _ = events.try_send(Event::Heard(Heard::Told(heard)));
+                }
+                None => {
+                    passed_over += 1;
+                    if said.elapsed() >= SAID_EVERY {
+                        said = Instant::now();
+                        tracing::warn!(
+                            "{passed_over} messages passed over: not understood, or not of a peer"
+                        );
+                    }
+                }
+            }
+        }
+    }
+}
--- a/crates/daemon/src/words.rs
+++ b/crates/daemon/src/words.rs
@@ -17,9 +17,6 @@
 const ID: &str = "Request-Id";
 const TYPE: &str = "Request-Class";
 const CUSTOMER: &str = "Tenant";
-const ABOUT: &str = "Affinity-Key";
-/// The longest that is heeded.
-const MOST_ABOUT: usize = 64;
 const PATIENCE: &str = "Request-Timeout";
 const AGAIN: &str = "Client-Retry";
 const FIGURES: &str = "Request-Info";
@@ -172,9 +169,6 @@
             Some(name) => *self.taken_customers.get(name).ok_or((400, "unknown customer"))?,
             None => 0,
         };
-        // It only guides: one that is odd or too long is passed on to the executor and says nothing here.
-        let about =
-            head.headers.one(ABOUT).ok().flatten().filter(|key| (1..=MOST_ABOUT).contains(&key.len()));
         let longest = self.limits[named as usize];
         let left = match one(PATIENCE)? {
             Some(text) => {
@@ -211,7 +205,6 @@
             body: Bytes::new(),
             project_type: ProjectTypeId(named),
             customer: CustomerId(customer),
-            about: about.map(|key| KeyId(troutknot_hosting::token(key))),
             slots,
             memory,
             again: one(AGAIN)? == Some("1"),
--- a/crates/hosting/src/catalogue.rs
+++ b/crates/hosting/src/catalogue.rs
@@ -172,6 +172,26 @@
                 terms.iter_mut().for_each(|t| _ = t.insert("most_allocations".into(), (*n).clone()))
             });
         }
+        if general.flag("limits.second_copies")
+            && !matches!(attempts, Some(Given::Number(most)) if *most >= 2.0)
+        {
+            return Err(
+                "setting `limits.second_copies`: true needs `limits.max_allocations` of 2 or more".into()
+            );
+        }
+        let sizes = general.text("list_sizes");
+        if !["", "silent", "none", "nominal", "rough", "falling"].contains(&sizes) {
+            return Err(format!(
+                "setting `weight_source`: `{sizes}`; silent, none, nominal, rough and live are allowed"
+            ));
+        }
+        if let (Some(Given::Number(me)), Some(Given::Number(nodes))) =
+            (general.get("node"), general.get("nodes"))
+            && general.flag("limits.peers")
+            && me >= nodes
+        {
+            return Err(format!("setting `me`: {me} is not under `balancers`, which is {nodes}"));
+        }
         for (terms, name) in terms.iter().zip(&type_names) {
             for positive_one in ["hard_limit", "promised_turnaround"] {
                 let given = terms.get(positive_one);
--- a/crates/hosting/src/lib.rs
+++ b/crates/hosting/src/lib.rs
@@ -6,9 +6,9 @@
 
 pub use catalogue::{Adopted, Catalogue};
 pub use naming::named_values;
-pub use telling::{MOST_TOLD, told, telling};
 use serde_json::{Map, Value};
 use std::collections::HashMap;
+pub use telling::{MOST_TOLD, telling, told};
 use troutknot::{ExecutorId, Millis, Reading};
 
 /// FNV-1a of a name, so that every node has the same number for it.
--- a/crates/simulation/src/baselines.rs
+++ b/crates/simulation/src/baselines.rs
@@ -354,6 +354,8 @@
             Event::Recovered { .. } | Event::Started { .. } | Event::Progress { .. } => {}
             // A baseline runs in one process and forgets with it.
             Event::Beside { .. } | Event::Learned(_) => {}
+            // Nor does it talk.
+            Event::Told(_) => {}
         }
     }
 
--- a/crates/simulation/src/world.rs
+++ b/crates/simulation/src/world.rs
@@ -424,7 +424,8 @@
                 };
                 self.queue.at(event.0, event.1);
             }
-            Action::Log(_) => {}
+            // Ways to executors never break here, and its settings let no nodes talk.
+            Action::CloseIdle { .. } | Action::Tell(_) | Action::Log(_) => {}
         }
     }
 
@@ -619,7 +620,7 @@
         let (project_type, customer) = (ProjectTypeId(asked.project_type as u32), asked.customer as u32);
         let (customer, slots, memory) = (CustomerId(customer), kind.slots, kind.memory);
         let again = attempt > 0;
-        self.tell(node, Heard::Arrived { wu, project_type, customer, key: None, slots, memory, left, again });
+        self.tell(node, Heard::Arrived { wu, project_type, customer, slots, memory, left, again });
     }
 
     /// The last byte of an allocation reaches its executor, if it can.
--- a/crates/wirehost/src/decode.rs
+++ b/crates/wirehost/src/decode.rs
@@ -1,8 +1,8 @@
 //! The wire's events as they stand on a line, borrowed from it.
+use base64::prelude::{BASE64_STANDARD, Engine};
 use serde::{Deserialize, Deserializer};
 use std::borrow::Cow;
-use base64::prelude::{BASE64_STANDARD, Engine};
-use troutknot::{KeyId, Telling, WuId};
+use troutknot::{Telling, WuId};
 use troutknot_hosting::told;
 
 pub fn parse<'a, T: Deserialize<'a>>(line: &'a [u8]) -> Result<T, String> {
@@ -35,11 +35,6 @@
     u64::from_str_radix(&text, 16).map(WuId).map_err(serde::de::Error::custom)
 }
 
-fn key<'de, D: Deserializer<'de>>(d: D) -> Result<Option<KeyId>, D::Error> {
-    let text = Option::<Cow<str>>::deserialize(d)?;
-    Ok(text.filter(|text| text.len() <= 16).and_then(|text| u64::from_str_radix(&text, 16).ok()).map(KeyId))
-}
-
 #[derive(Deserialize)]
 pub struct Begin {
     pub time: u64,
@@ -117,9 +112,6 @@
     pub account: Option<u32>,
     #[serde(default)]
     pub retry: Option<bool>,
-    /// Absent where it is no key: it only guides.
-    #[serde(default, deserialize_with = "key")]
-    pub affinity: Option<KeyId>,
     pub priority: u32,
 }
 
--- a/crates/wirehost/src/host.rs
+++ b/crates/wirehost/src/host.rs
@@ -78,7 +78,6 @@
                     wu: r.call,
                     project_type: ProjectTypeId(r.priority),
                     customer: CustomerId(r.account.unwrap_or(0)),
-                    key: r.affinity,
                     slots: r.cores_needed.unwrap_or(1.0),
                     memory: r.mem_needed.unwrap_or(0.0),
                     left: millis(r.time_left),
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -6,13 +6,11 @@
 mod following;
 mod learned;
 mod retune;
-mod ring;
 
 use crate::terms::*;
 use following::Following;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use ring::Ring;
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 
 /// Weight of one answer in the smoothed share of executors with work waiting: about the last hundred answers.
@@ -107,8 +105,6 @@
     least_slots: f64,
     /// The healthy ones: who may be drawn.
     healthy: Vec<ExecutorId>,
-    /// These on a ring; made anew when a key asks for it.
-    ring: Ring,
     /// The cold ones of them of whose budget this node holds more than an even part.
     dealt: Vec<ExecutorId>,
     reading: Vec<Reading>,
@@ -174,7 +170,6 @@
     slots: f64,
     /// Beyond its customer's share.
     over: bool,
-    key: Option<KeyId>,
     /// When the client first asked, for an earlier try perhaps.
     asked: Millis,
     limit: Millis,
@@ -407,14 +402,13 @@
                 let said = self.following.lost(now, self.nodes, &mut self.rng);
                 self.log.push(said);
             }
-            Event::Arrived { wu, project_type, customer, key, slots, left, again, .. } => {
+            Event::Arrived { wu, project_type, customer, slots, left, again, .. } => {
                 let project_type = project_type.0 as usize;
                 if project_type < self.types.len() && !self.wus.contains_key(&wu) {
                     let wanted = Wu {
                         project_type,
                         slots: slots.max(1.0),
                         over: self.over_share(now, customer, again),
-                        key,
                         asked: now + left - self.types[project_type].limit.max(left),
                         limit: now + left,
                         wake: f64::INFINITY,
@@ -501,7 +495,6 @@
         let f = &self.fleet;
         let ready = f.listed.iter().filter(|l| f.is_ready(l.executor.0 as usize)).map(|l| l.executor);
         self.fleet.healthy = ready.collect();
-        self.fleet.ring.clear();
     }
 
     fn on_probed(&mut self, now: Millis, executor: ExecutorId, answer: Option<(Millis, Reading)>) {
@@ -762,27 +755,11 @@
         let warmth = self.warmth(e, now).sqrt();
         let elsewhere = self.home.is_some_and(|home| self.fleet.listed[e].place != home);
         let far = FAR.powi(i32::from(elsewhere));
-        let chance = far * warmth * (-faded(self.fleet.failed[e], now, fade) - faded(turned_away, now, fade)).exp();
+        let chance =
+            far * warmth * (-faded(self.fleet.failed[e], now, fade) - faded(turned_away, now, fade)).exp();
         chance > 0.98 || self.rng.random::<f64>() < chance
     }
 
-    /// The executor that a key leads all nodes to: the first ready one on the ring. What work of this key needs
-    /// is there already, and no node has to know who had it last.
-    fn pick_by_key(&mut self, now: Millis, wu: WuId, but: &[ExecutorId]) -> Option<ExecutorId> {
-        let key = self.wus.get(&wu)?.key?;
-        if self.fleet.ring.is_empty() {
-            let f = &self.fleet;
-            self.fleet.ring = Ring::of(f.healthy.iter().map(|x| (f.listed[x.0 as usize].token, *x)));
-        }
-        for k in 0..PICKS {
-            let x = self.fleet.ring.nth(key, k)?;
-            if !but.contains(&x) && self.allowed(now, self.wus.get(&wu)?, x) && self.let_through(now, wu, x) {
-                return Some(x);
-            }
-        }
-        None
-    }
-
     /// One ready executor, each with the same chance. Where chance lets none through in so many picks, all
     /// that are allowed are ready; those that `but` names come only where there is no other.
     fn pick(&mut self, now: Millis, wu: WuId, but: &[ExecutorId]) -> Option<ExecutorId> {
@@ -824,8 +801,8 @@
         self.recompute_draws(now);
         // Where room is short everywhere: one draw, for each probe is priced.
         let draws = if self.room_is_short() { 1 } else { self.monitoring.draws };
-        let mut drawn: Vec<ExecutorId> = self.pick_by_key(now, wu, &but).into_iter().collect();
-        for _ in drawn.len() as u32..draws {
+        let mut drawn: Vec<ExecutorId> = Vec::new();
+        for _ in 0..draws {
             drawn.extend(self.pick(now, wu, &but).filter(|x| !drawn.contains(x)));
         }
         if drawn.is_empty() { self.hold(now, wu) } else { self.probe(now, wu, drawn) }
--- a/src/terms.rs
+++ b/src/terms.rs
@@ -28,10 +28,6 @@
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub struct PlaceId(pub u32);
 
-/// What a work unit is about, as a number that stands for it at every node alike.
-#[derive(Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Debug)]
-pub struct KeyId(pub u64);
-
 /// Machines of one kind share a size and a typical speed.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub struct MachineKindId(pub u32);
@@ -229,8 +225,6 @@
         wu: WuId,
         project_type: ProjectTypeId,
         customer: CustomerId,
-        /// Where work units have one; those that bear one key belong together.
-        key: Option<KeyId>,
         slots: f64,
         memory: f64,
         left: Millis,
@@ -283,14 +277,32 @@
 
 #[derive(Clone, PartialEq, Debug)]
 pub enum Action {
-    Push { wu: WuId, executor: ExecutorId, cut_at: Millis },
-    Cancel { wu: WuId, alloc: AllocId },
-    Defer { wu: WuId, come_back: Option<Millis> },
-    Abort { wu: WuId },
-    Probe { executor: ExecutorId },
-    Wake { at: Millis },
+    Push {
+        wu: WuId,
+        executor: ExecutorId,
+        cut_at: Millis,
+    },
+    Cancel {
+        wu: WuId,
+        alloc: AllocId,
+    },
+    Defer {
+        wu: WuId,
+        come_back: Option<Millis>,
+    },
+    Abort {
+        wu: WuId,
+    },
+    Probe {
+        executor: ExecutorId,
+    },
+    Wake {
+        at: Millis,
+    },
     /// Closes the connections to an executor that are idle: they may be gone unseen.
-    CloseIdle { executor: ExecutorId },
+    CloseIdle {
+        executor: ExecutorId,
+    },
     /// Tells all other nodes, as far as it gets to them.
     Tell(Telling),
     FollowList,
