--- a/src/rules.rs
+++ b/src/rules.rs
@@ -35,8 +35,8 @@
 const MEETINGS: f64 = 4.0;
 const LONGEST_FADE: Millis = 30_000.0;
 const MOST_FAULT: f64 = 3.0;
-/// Part of the cold budget that is used, as only mean running times are known. It is dealt to so many nodes for
-/// each time that a slot's part, right after the start, holds the longest promised turnaround; at most to these.
+/// Part of the cold budget that is used, as only mean running times are known. It is dealt to so many nodes
+/// for each time that a slot's part at the start holds the longest promised turnaround, at most to these.
 const COLD_HEADROOM: f64 = 0.8;
 const DEALT_A_TIME: f64 = 1.5;
 const MOST_DEALT: f64 = 8.0;
@@ -53,8 +53,7 @@
 const SHORT_SHARE: f64 = 0.3;
 /// A reset so soon, before any start, is the connection's.
 const BROKE_WITHIN: Millis = 150.0;
-/// Where idle connections are dropped unseen, none is used again that was idle for longer; for so long, as then
-/// nothing more is learned.
+/// Where idle connections are dropped unseen, none is used again that was idle for longer, for so long.
 const LEAST_IDLE: Millis = 200.0;
 const DROPS_FOR: Millis = 30_000.0;
 /// Chance that an executor elsewhere is ready, where crossing is priced.
@@ -199,8 +198,6 @@
     waiting_share: Option<f64>,
     seen: f64,
     lag: Option<Millis>,
-    /// What the quicker ones take.
-    quick_lag: Option<Millis>,
     price: f64,
 }
 
@@ -346,7 +343,7 @@
         if self.slots[e] > 0.0 { self.slots[e] } else { self.least_slots }
     }
 
-    /// What an executor can do when warm, in slots of a typical one. Its size is taken where the list lowers it
+    /// What an executor can do when warm, in slots of a typical one: by its size where the list lowers that
     /// with load, as reports that leave out the work in hand hardly ever show all slots.
     fn capacity(&self, e: usize) -> f64 {
         let size = self.kind_sizes.get(self.listed[e].kind.0 as usize).copied().unwrap_or(0.0);
@@ -505,8 +502,6 @@
             let m = &mut self.monitoring;
             let usual = m.lag.get_or_insert(lag);
             *usual += 0.05 * (lag - *usual);
-            let quick = m.quick_lag.get_or_insert(lag);
-            *quick += if lag < *quick { 0.2 } else { 0.01 } * (lag - *quick);
             let waiting = if reading.queue.unwrap_or(0.0) >= 0.5 { 1.0 } else { 0.0 };
             // Guards against what a node holds at its start, which one that sees little would keep all day.
             m.seen += 1.0;
@@ -526,7 +521,7 @@
             let Some(w) = self.wus.get_mut(&wu) else { continue };
             let asked = w.drawn.iter().take(w.probed).position(|x| *x == executor);
             let Some(nth) = asked.filter(|_| w.wanted == Wanted::Probed) else { continue };
-            let last = nth + 1 >= w.probed || w.probed > w.drawn.len();
+            let last = nth + 1 >= w.probed;
             w.answers.extend(answer.map(|(_, reading)| (executor, reading)));
             // With no queue, no crossing and no own work, those still to be probed could at best tie; where
             // probes are priced, an emptier one would not be worth one more.
@@ -557,7 +552,7 @@
             // Its connection was gone before: no fault of the executor.
             self.on_dropped(now, true);
         } else if outcome == Outcome::Full {
-            // Guards against executors that take all but one project type: what else they do says nothing of it.
+            // Guards against executors that take all but one project type, and complete all else.
             let fade = self.fleet.fade(now);
             let (score, at) = self.fleet.turned_away[e].entry(project_type).or_insert((0.0, now));
             (*score, *at) = (faded((*score, *at), now, fade) + (fade / DISTRUST_FADE).min(MOST_FAULT), now);
@@ -605,7 +600,7 @@
     }
 
     /// Guards against connections that are dropped unseen while idle: what is sent on one is lost, and may
-    /// have run. A node that meets each executor seldom would lose much until it knew, so it tells the others.
+    /// have run. A node that meets each executor seldom would learn late, so whoever sees it tells the others.
     fn on_dropped(&mut self, now: Millis, seen: bool) {
         if now >= self.drops_until {
             self.log.push(format!("idle connections dropped: none is used again after {LEAST_IDLE} ms"));
@@ -819,18 +814,7 @@
     /// Wants an answer from the next of those drawn.
     fn probe_next(&mut self, now: Millis, wu: WuId) {
         let Some(w) = self.wus.get_mut(&wu) else { return };
-        let Some(&executor) = w.drawn.get(w.probed) else {
-            // Nobody has answered as fast as quick ones do: what slow ones usually take is waited for once.
-            let (quick, lag) =
-                (self.monitoring.quick_lag.unwrap_or(15.0), self.monitoring.lag.unwrap_or(15.0));
-            let waits = w.answers.is_empty() && w.probed == w.drawn.len() && lag > 3.0 * quick;
-            w.probed += 1;
-            let limit = w.limit;
-            return match waits {
-                true => self.want(wu, Wanted::Probed, (now + 8.0 * lag).min(limit)),
-                false => self.choose(now, wu),
-            };
-        };
+        let Some(&executor) = w.drawn.get(w.probed) else { return self.choose(now, wu) };
         w.probed += 1;
         let e = executor.0 as usize;
         if !self.fleet.probe_out[e] && self.fleet.awaiting[e].is_empty() {
@@ -840,7 +824,7 @@
             self.fleet.awaiting[e].push(wu);
         }
         // The wait for a probe is bounded by what it usually takes; a deep one may queue like a work unit.
-        let wake = (now + 8.0 * self.monitoring.quick_lag.unwrap_or(15.0) + 5.0).min(w.limit);
+        let wake = (now + 8.0 * self.monitoring.lag.unwrap_or(15.0) + 5.0).min(w.limit);
         self.want(wu, Wanted::Probed, wake);
     }
 
@@ -919,8 +903,8 @@
         self.want(wu, Wanted::Held, (now + patience / 2.0).min(until));
     }
 
-    /// An own allocation has ended: the work unit that was held longest asks for room there, what is within its
-    /// customer's share and takes few slots first. None goes by its credit: the type that is served worst counts as much as all.
+    /// An own allocation has ended: the work unit that was held longest asks for room there, what is within
+    /// its customer's share and takes few slots first. Not by credit: the type served worst counts as much.
     fn room_at(&mut self, now: Millis, executor: ExecutorId) {
         let first = |wu: &&WuId| (self.wus[wu].over, self.wus[wu].slots as u64);
         let best = self.held.iter().min_by_key(first).copied();
