--- a/src/rules.rs
+++ b/src/rules.rs
@@ -66,6 +66,7 @@
     turnaround: Millis,
     stretch: f64,
     limit: Millis,
+    credit: f64,
     only_kind: Option<MachineKindId>,
     most_allocs: usize,
     /// Smoothed running time; the promised turnaround stands in until an allocation has ended.
@@ -212,6 +213,7 @@
     rng: ChaCha8Rng,
     types: Vec<ProjectType>,
     shares: Vec<Share>,
+    credit_over: f64,
     cold: ColdRule,
     nodes: f64,
     come_back_told: bool,
@@ -366,6 +368,7 @@
             rng: ChaCha8Rng::seed_from_u64(seed),
             types: Vec::new(),
             shares: Vec::new(),
+            credit_over: 1.0,
             cold: ColdRule::default(),
             nodes: 1.0,
             come_back_told: false,
@@ -903,11 +906,15 @@
         self.want(wu, Wanted::Held, (now + patience / 2.0).min(until));
     }
 
-    /// An own allocation has ended: the work unit that was held longest asks for room there, what is within
-    /// its customer's share and takes few slots first. Not by credit: the type served worst counts as much.
+    /// An own allocation has ended: the held work unit whose credit for its slots, times how long it waits, is
+    /// most asks for room there. By credit alone the type of least credit would never get any.
     fn room_at(&mut self, now: Millis, executor: ExecutorId) {
-        let first = |wu: &&WuId| (self.wus[wu].over, self.wus[wu].slots as u64);
-        let best = self.held.iter().min_by_key(first).copied();
+        let earns = |wu: &WuId| {
+            let w = &self.wus[wu];
+            let part = if w.over { self.credit_over } else { 1.0 };
+            part * self.types[w.project_type].credit / w.slots * (now - w.asked)
+        };
+        let best = self.held.iter().max_by(|a, b| earns(a).total_cmp(&earns(b))).copied();
         if let Some(wu) = best.filter(|wu| self.allowed(now, &self.wus[wu], executor)) {
             self.probe(now, wu, vec![executor]);
         }
--- a/src/rules/retune.rs
+++ b/src/rules/retune.rs
@@ -18,6 +18,7 @@
                 turnaround: number("promised_turnaround"),
                 stretch: number("stretch"),
                 limit: number("hard_limit"),
+                credit: number("credit"),
                 only_kind: (kind >= 0.0).then_some(MachineKindId(kind as u32)),
                 most_allocs: values.number(&own("most_allocations"), most_allocs) as usize,
                 run: like.map_or(number("promised_turnaround"), |like| like.run),
@@ -32,6 +33,7 @@
         for (k, of) in self.shares.iter_mut().enumerate() {
             of.per_ms = values.number(&share(k), 0.0) * self.fleet.part / 1000.0;
         }
+        self.credit_over = values.number("credit_over_share", 1.0);
         self.cold = ColdRule {
             share: values.number("rules.cold_share", 1.0),
             ramp: values.number("rules.ramp_time", 0.0),
