--- a/crates/daemon/src/driver.rs
+++ b/crates/daemon/src/driver.rs
@@ -44,7 +44,7 @@
     beside: Rc<Beside>,
     roster: Roster,
     /// The other nodes, where the settings let nodes talk.
-    peers: Option<Rc<Peers>>,
+    pub peers: Option<Rc<Peers>>,
     open: BTreeMap<WuId, Open>,
     wake: Option<Instant>,
     out_of_time: bool,
@@ -59,7 +59,6 @@
         follow: Rc<Notify>,
         events: mpsc::Receiver<Event>,
         stages: Rc<Stages>,
-        peers: Option<Rc<Peers>>,
     ) -> Self {
         Driver {
             dispatcher,
@@ -72,7 +71,7 @@
             beside: executors.beside.clone(),
             executors,
             roster: Roster::default(),
-            peers,
+            peers: None,
             open: BTreeMap::new(),
             wake: None,
             out_of_time: false,
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -197,8 +197,8 @@
         follow.clone(),
         told_events,
         stages.clone(),
-        peers.clone(),
     );
+    driver.peers = peers.clone();
     if let Some(peers) = peers {
         spawn_local(peers.hear(events.clone()));
     }
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -144,9 +144,14 @@
     fn new(executor: ExecutorId, sent: Millis, idle: Millis) -> Self {
         Alloc { executor, sent, idle, begun: f64::NEG_INFINITY, outcome: None }
     }
+
+    fn waits(&self) -> bool {
+        self.begun == f64::NEG_INFINITY
+    }
 }
 
 impl Wu {
+    /// Whether an allocation is out: then nothing is answered yet.
     fn is_out(&self) -> bool {
         self.allocs.iter().any(|a| a.outcome.is_none())
     }
@@ -444,7 +449,9 @@
             match w.wanted {
                 Wanted::Probed => self.probe_next(now, wu),
                 // It has not begun yet: its executor is asked why.
-                Wanted::Out(executor, ..) => self.probe(now, wu, vec![executor]),
+                Wanted::Out(executor, ..) if w.allocs.last().is_some_and(Alloc::waits) => {
+                    self.probe(now, wu, vec![executor])
+                }
                 Wanted::Held => {
                     w.draws = 1;
                     self.draw(now, wu)
@@ -530,11 +537,10 @@
             // probes are priced, an emptier one would not be worth one more.
             let rank = answer.map(|(_, reading)| self.rank(now, &self.wus[&wu], executor, &reading));
             let enough = self.fleet.own_out[e] < 0.5 || self.monitoring.price > 0.0;
-            let best = rank.is_some_and(|r| r.0 < 0.5 && !r.1 && enough);
-            if best {
-                self.choose(now, wu)
-            } else if last {
-                self.probe_next(now, wu)
+            match rank.is_some_and(|r| r.0 < 0.5 && !r.1 && enough) {
+                true => self.choose(now, wu),
+                false if last => self.probe_next(now, wu),
+                false => {}
             }
         }
     }
@@ -543,8 +549,8 @@
         let Some(w) = self.wus.get_mut(&wu) else { return };
         let Some(a) = w.allocs.get_mut(alloc.0 as usize).filter(|a| a.outcome.is_none()) else { return };
         let (executor, e, sent) = (a.executor, a.executor.0 as usize, a.sent);
-        let (idle, quick) = (a.idle, outcome == Outcome::Reset && now - sent < BROKE_WITHIN);
-        let dropped = quick && a.begun == f64::NEG_INFINITY && idle < self.idle_stated;
+        let broke = outcome == Outcome::Reset && now - sent < BROKE_WITHIN && a.waits();
+        let dropped = broke && a.idle < self.idle_stated;
         a.outcome = Some(outcome);
         let another_out = w.is_out();
         let (project_type, slots) = (w.project_type, w.slots);
@@ -579,12 +585,11 @@
             // Guards against slow executors; the logarithm forgives the long tail of ordinary running times.
             self.fleet.add_distrust(e, now, SLOW_DISTRUST * (ran / kind.run).ln().max(0.0));
         }
-        if closed {
-            self.forget(wu)
-        } else if another_out {
+        match closed {
+            true => self.forget(wu),
             // What follows is for the copy that is still out, or in the making, to say.
-        } else {
-            self.draw(now, wu)
+            false if another_out => {}
+            false => self.draw(now, wu),
         }
         if outcome == Outcome::Completed {
             self.room_at(now, executor);
@@ -659,7 +664,7 @@
     fn give_up(&mut self, now: Millis, wu: WuId) {
         let Some(w) = self.wus.get(&wu) else { return };
         if w.is_out() {
-            return self.wait(now, wu, f64::INFINITY);
+            return self.wait(wu);
         }
         let turnaround = self.types[w.project_type].turnaround;
         let deferred = Wanted::Deferred(self.come_back_told.then_some(turnaround));
@@ -667,24 +672,19 @@
         self.want(wu, wanted, f64::INFINITY);
     }
 
-    /// Waits for the allocations that are out, and looks again then.
-    fn wait(&mut self, now: Millis, wu: WuId, wake: Millis) {
+    /// Waits for the allocations that are out.
+    fn wait(&mut self, wu: WuId) {
         let Some((w, a)) = self.wus.get(&wu).and_then(|w| Some((w, w.allocs.last()?))) else { return };
-        let wanted = Wanted::Out(a.executor, w.limit, w.allocs.len());
-        self.want(wu, wanted, wake.max(now));
+        self.want(wu, Wanted::Out(a.executor, w.limit, w.allocs.len()), f64::INFINITY);
     }
 
-    /// Where work that is out has not begun though it should have: whether it ever got there.
+    /// Where work that is out has not begun though its executor shows room, it was lost on the way.
     fn look_after(&mut self, now: Millis, wu: WuId) {
-        let Some(w) = self.wus.get(&wu) else { return };
-        let slots = w.slots;
-        let a = *w.allocs.last().expect("one is out");
-        let roomy = |r: &Reading| r.queue.unwrap_or(1.0) < 0.5 && r.free_slots.unwrap_or(0.0) >= slots;
-        let lost = w.answers.iter().any(|(x, r)| *x == a.executor && roomy(r));
-        if !lost || a.begun > f64::NEG_INFINITY {
-            return self.wait(now, wu, f64::INFINITY);
-        }
-        // There is room where it was sent, and it has not begun: it was lost on the way.
+        let Some((w, a)) = self.wus.get(&wu).and_then(|w| Some((w, w.allocs.last()?))) else { return };
+        let roomy = |r: &Reading| r.queue.unwrap_or(1.0) < 0.5 && r.free_slots.unwrap_or(0.0) >= w.slots;
+        if !a.waits() || !w.answers.iter().any(|(x, r)| *x == a.executor && roomy(r)) {
+            return self.wait(wu);
+        }
         if a.idle < self.idle_stated {
             self.on_dropped(now, true);
         }
@@ -742,19 +742,16 @@
     }
 
     /// Chance by warmth and by trust decides who of the allowed is ready. The budget goes by the slowest
-    /// ramp and the lowest start that can be. Where many nodes see room short, and small parts of the
-    /// budget hold each of them back, chance goes by the square root of that, which is about what executors
-    /// show.
+    /// ramp and the lowest start that can be, chance by the root of that, about what executors show.
     fn let_through(&mut self, now: Millis, wu: WuId, executor: ExecutorId) -> bool {
         let e = executor.0 as usize;
         let fade = self.fleet.fade(now);
         let project_type = self.wus.get(&wu).map_or(0, |w| w.project_type);
         let turned_away = self.fleet.turned_away[e].get(&project_type).copied().unwrap_or_default();
         let warmth = self.warmth(e, now).sqrt();
-        let elsewhere = self.home.is_some_and(|home| self.fleet.listed[e].place != home);
-        let far = FAR.powi(i32::from(elsewhere));
-        let chance =
-            far * warmth * (-faded(self.fleet.failed[e], now, fade) - faded(turned_away, now, fade)).exp();
+        let far = if self.home.is_some_and(|home| self.fleet.listed[e].place != home) { FAR } else { 1.0 };
+        let distrust = faded(self.fleet.failed[e], now, fade) + faded(turned_away, now, fade);
+        let chance = far * warmth * (-distrust).exp();
         chance > 0.98 || self.rng.random::<f64>() < chance
     }
 
@@ -895,7 +892,7 @@
     fn hold(&mut self, now: Millis, wu: WuId) {
         let Some(w) = self.wus.get(&wu) else { return };
         if w.is_out() {
-            return self.wait(now, wu, f64::INFINITY);
+            return self.wait(wu);
         }
         let patience = self.patience(&self.types[w.project_type]);
         let until = (w.asked + patience).min(w.limit);
