--- a/crates/daemon/tests/consul.rs
+++ b/crates/daemon/tests/consul.rs
@@ -326,7 +326,7 @@
     let config = config_file(&config.to_string());
     let text = std::fs::read_to_string(&good).unwrap();
     for (from, to, part) in [
-        ("[lists]", "[list]", "line 1: unknown field `list`, expected `lists`"),
+        ("[lists]", "[list]", "line 1: unknown field `list`, expected one of `lists`"),
         ("\"consul\"", "\"dns\"", "line 2: unknown variant `dns`, expected `platform` or `consul`"),
         ("127.0.0.1:9", "here", "line 4: invalid socket address syntax"),
         ("\"127.0.0.1:9\"", "", "must name 1 to 16 addresses"),
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -1,8 +1,7 @@
 //! Every decision of the dispatcher.
 //!
 //! How to call it: `Dispatcher::new(values, seed, now)`, then `tell(now, event)` for each event of a moment
-//! and one `emit(now, &mut actions)` after them. `tell` only changes what is wanted; `emit` alone works out
-//! the difference to what is out, held and timed. The interface (events, actions, ids) stands in `terms.rs`.
+//! and one `emit(now, &mut actions)` after them, which alone works out the difference of wanted and present.
 mod following;
 mod learned;
 mod retune;
@@ -13,7 +12,7 @@
 use rand_chacha::ChaCha8Rng;
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 
-/// Weight of one answer in the smoothed share of executors with work waiting: about the last hundred answers.
+/// Weight of one answer in the smoothed share of executors with work waiting: about the last hundred.
 const ANSWER_WEIGHT: f64 = 0.01;
 /// Weight of one ended allocation in a running time: about the last thirty.
 const RUN_WEIGHT: f64 = 0.03;
@@ -99,7 +98,7 @@
     judged: Vec<(f64, Millis)>,
     /// Where sizes fall with load: the largest that the list has shown of each kind of machine.
     falling: bool,
-    kind_sizes: Vec<f64>,
+    kind_sizes: BTreeMap<u32, f64>,
     /// The most slots that reports have shown, and the least of these; it stands in where none are shown yet.
     slots: Vec<f64>,
     least_slots: f64,
@@ -118,8 +117,6 @@
     mean_run: Millis,
     /// Own outcomes of late, fading, and when that was counted.
     met: (f64, Millis),
-    /// This node's part of what all share.
-    part: f64,
     /// Work units that wait for the probe that is wanted or out.
     awaiting: Vec<Vec<WuId>>,
     probe_out: Vec<bool>,
@@ -298,10 +295,9 @@
             self.turned_away[e].clear();
         }
         self.listed[e] = *entry;
-        let kind = entry.kind.0 as usize;
         if self.falling && entry.phase == Phase::Healthy {
-            self.kind_sizes.resize(self.kind_sizes.len().max(kind + 1), 0.0);
-            self.kind_sizes[kind] = self.kind_sizes[kind].max(entry.size);
+            let size = self.kind_sizes.entry(entry.kind.0).or_insert(0.0);
+            *size = size.max(entry.size);
         }
     }
 
@@ -316,8 +312,7 @@
         (MEETINGS * met_every).clamp(DISTRUST_FADE, LONGEST_FADE)
     }
 
-    /// Something failed there. Guards against an executor that fails at once and that each of many nodes
-    /// meets once in seconds: by the time it is met again, nothing would be left of what it did.
+    /// Guards against an executor that fails at once, and of which nothing would be left by the next meeting.
     fn fault(&mut self, e: usize, now: Millis) {
         self.add_distrust(e, now, (self.fade(now) / DISTRUST_FADE).min(MOST_FAULT));
     }
@@ -353,7 +348,7 @@
     /// What an executor can do when warm, in slots of a typical one: by its size where the list lowers that
     /// with load, as reports that leave out the work in hand hardly ever show all slots.
     fn capacity(&self, e: usize) -> f64 {
-        let size = self.kind_sizes.get(self.listed[e].kind.0 as usize).copied().unwrap_or(0.0);
+        let size = self.kind_sizes.get(&self.listed[e].kind.0).copied().unwrap_or(0.0);
         if size > 0.0 { size } else { self.slots_of(e) }
     }
 
@@ -478,11 +473,8 @@
         }
         entries.iter().for_each(|entry| self.fleet.list(entry));
         self.list_ready();
-        let heard = matches!(kind, ListKind::Whole | ListKind::Changes);
-        self.following.stood |= heard;
-        if heard && self.following.failures > 0 {
-            self.log.push(format!("list back after {} failures", self.following.failures));
-            self.following.failures = 0;
+        if matches!(kind, ListKind::Whole | ListKind::Changes) {
+            self.log.extend(self.following.heard());
         }
         // A push decided in this very batch must not go to an executor that the list has just taken away.
         for wu in self.touched.clone() {
@@ -552,8 +544,7 @@
         let broke = outcome == Outcome::Reset && now - sent < BROKE_WITHIN && a.waits();
         let dropped = broke && a.idle < self.idle_stated;
         a.outcome = Some(outcome);
-        let another_out = w.is_out();
-        let (project_type, slots) = (w.project_type, w.slots);
+        let (project_type, slots, another_out) = (w.project_type, w.slots, w.is_out());
         self.fleet.own_change(e, now, -slots);
         self.fleet.met = (faded(self.fleet.met, now, DISTRUST_FADE) + 1.0, now);
         // Only executors that showed room are sent to; one that is full all the same reports wrongly.
@@ -608,7 +599,7 @@
     }
 
     /// Guards against connections that are dropped unseen while idle: what is sent on one is lost, and may
-    /// have run. A node that meets each executor seldom would learn late, so whoever sees it tells the others.
+    /// have run. A node that meets each executor seldom learns late, so whoever sees it tells the others.
     fn on_dropped(&mut self, now: Millis, seen: bool) {
         if now >= self.drops_until {
             self.log.push(format!("idle connections dropped: none is used again after {LEAST_IDLE} ms"));
@@ -678,7 +669,7 @@
         self.want(wu, Wanted::Out(a.executor, w.limit, w.allocs.len()), f64::INFINITY);
     }
 
-    /// Where work that is out has not begun though its executor shows room, it was lost on the way.
+    /// What has not begun though its executor shows room was lost on the way.
     fn look_after(&mut self, now: Millis, wu: WuId) {
         let Some((w, a)) = self.wus.get(&wu).and_then(|w| Some((w, w.allocs.last()?))) else { return };
         let roomy = |r: &Reading| r.queue.unwrap_or(1.0) < 0.5 && r.free_slots.unwrap_or(0.0) >= w.slots;
@@ -855,12 +846,10 @@
                 best.push(*executor);
             }
         }
-        let (draws, answered) = (w.draws, !best.is_empty());
-        let long = least.0 >= 0.5;
+        let (draws, answered, long) = (w.draws, !best.is_empty(), least.0 >= 0.5);
         if !answered && draws >= 2 {
             // No answer at all: one more draw, then one of the ready at random.
-            let any = self.pick(now, wu, &[]);
-            best.extend(any);
+            best.extend(self.pick(now, wu, &[]));
         } else if answered && long && (draws >= 2 || self.room_is_short()) {
             // Every answer is long: one more draw, then a short hold, as what is in a queue cannot be moved.
             return self.hold(now, wu);
@@ -883,10 +872,6 @@
         self.want(wu, Wanted::Out(executor, cut_at, allocs), wake);
     }
 
-    fn patience(&self, kind: &ProjectType) -> Millis {
-        PATIENCE * (kind.turnaround + (kind.stretch - 1.0).max(0.0) * kind.run)
-    }
-
     /// Holds a work unit, to draw again halfway, while it may well end within its promised turnaround, then
     /// gives it up at once.
     fn hold(&mut self, now: Millis, wu: WuId) {
@@ -894,7 +879,8 @@
         if w.is_out() {
             return self.wait(wu);
         }
-        let patience = self.patience(&self.types[w.project_type]);
+        let kind = &self.types[w.project_type];
+        let patience = PATIENCE * (kind.turnaround + (kind.stretch - 1.0).max(0.0) * kind.run);
         let until = (w.asked + patience).min(w.limit);
         // Where room is short, what exceeds a customer's share goes first.
         if now >= until || (w.over && !self.held.is_empty()) {
@@ -903,8 +889,8 @@
         self.want(wu, Wanted::Held, (now + patience / 2.0).min(until));
     }
 
-    /// An own allocation has ended: the held work unit whose credit for its slots, times how long it waits, is
-    /// most asks for room there. By credit alone the type of least credit would never get any.
+    /// An own allocation has ended: the held work unit of most credit for its slots times how long it waits
+    /// asks for room there. By credit alone the type of least credit would never get any.
     fn room_at(&mut self, now: Millis, executor: ExecutorId) {
         let earns = |wu: &WuId| {
             let w = &self.wus[wu];
@@ -924,8 +910,7 @@
         m.at = now;
         self.list_ready();
         let more = |e: usize| self.warmth(e, now) < 1.0 && self.cold_part(e) * self.nodes > 1.0;
-        let dealt = self.fleet.healthy.iter().copied().filter(|x| more(x.0 as usize)).collect();
-        self.fleet.dealt = dealt;
+        self.fleet.dealt = self.fleet.healthy.iter().copied().filter(|x| more(x.0 as usize)).collect();
         let shown = self.fleet.slots.iter().copied().filter(|&slots| slots > 0.0);
         self.fleet.least_slots = shown.min_by(f64::total_cmp).unwrap_or(1.0);
         let m = &mut self.monitoring;
@@ -957,14 +942,11 @@
                     actions.push(Action::Push { wu, executor, cut_at });
                 }
                 Wanted::Probed | Wanted::Held | Wanted::Out(..) => {}
-                Wanted::Deferred(come_back) => {
-                    actions.push(Action::Defer { wu, come_back });
-                    self.forget(wu);
-                }
-                Wanted::Aborted => {
-                    actions.push(Action::Abort { wu });
-                    self.forget(wu);
-                }
+                Wanted::Deferred(come_back) => actions.push(Action::Defer { wu, come_back }),
+                Wanted::Aborted => actions.push(Action::Abort { wu }),
+            }
+            if matches!(self.wus[&wu].wanted, Wanted::Deferred(_) | Wanted::Aborted) {
+                self.forget(wu);
             }
         }
         for executor in std::mem::take(&mut self.probes_wanted) {
--- a/src/rules/following.rs
+++ b/src/rules/following.rs
@@ -16,6 +16,13 @@
 }
 
 impl Following {
+    /// The list was told: what to say of it, if calls had failed.
+    pub fn heard(&mut self) -> Option<String> {
+        self.stood = true;
+        let failures = std::mem::take(&mut self.failures);
+        (failures > 0).then(|| format!("list back after {failures} failures"))
+    }
+
     /// A call failed, or following broke off: when to ask again, and what to say of it.
     pub fn lost(&mut self, now: Millis, nodes: f64, rng: &mut ChaCha8Rng) -> String {
         // Waits grow, with jitter against asking in step, well inside the span that counts as told.
--- a/src/rules/learned.rs
+++ b/src/rules/learned.rs
@@ -30,6 +30,7 @@
             (kind.run, kind.runs_seen) = (run, seen);
         }
         (f.mean_run, m.waiting_share, m.lag) = (learned.mean_run, learned.waiting_share, learned.lag);
+        m.seen = if m.waiting_share.is_some() { 1.0 / ANSWER_WEIGHT } else { 0.0 };
         m.draws = learned.draws.clamp(2, MOST_DRAWS);
     }
 }
--- a/src/rules/retune.rs
+++ b/src/rules/retune.rs
@@ -26,12 +26,12 @@
             });
         }
         self.nodes = values.number("nodes", 1.0).max(1.0);
-        self.fleet.part = (UNEVEN / self.nodes).min(1.0);
+        let part = (UNEVEN / self.nodes).min(1.0);
         let share = |k: usize| format!("customers.{k}.share_per_s");
         let named = (0..).take_while(|&k| values.holds(&share(k))).count();
         self.shares.resize_with(named, || Share { left: f64::INFINITY, at: now, per_ms: 0.0 });
         for (k, of) in self.shares.iter_mut().enumerate() {
-            of.per_ms = values.number(&share(k), 0.0) * self.fleet.part / 1000.0;
+            of.per_ms = values.number(&share(k), 0.0) * part / 1000.0;
         }
         self.credit_over = values.number("credit_over_share", 1.0);
         self.cold = ColdRule {
