--- a/crates/hosting/src/naming.rs
+++ b/crates/hosting/src/naming.rs
@@ -16,11 +16,9 @@
     ("contract.ask_every", "rules.ask_every", Micros),
     ("contract.cold_share", "rules.cold_share", Number),
     ("contract.drain_grace", "rules.drain_grace", Micros),
-    ("contract.dropped_stay_open", "rules.gone_may_serve", Flag),
     ("contract.fall", "rules.fall", Micros),
     ("contract.fall_multiple", "rules.fall_multiple", Number),
     ("contract.ramp_time", "rules.ramp_time", Micros),
-    ("credit_by", "credit_by", Text),
     ("customers.*.quota_per_s", "customers.*.share_per_s", Number),
     ("family_info.class_kind.*", "project_types.*.only_kind", Number),
     ("family_info.class_stretch.*", "project_types.*.stretch", Number),
@@ -64,7 +62,6 @@
     ("list_mode", "subscribe", "asked"),
     ("list_mode", "automatic", "told"),
     ("list_sizes", "live", "falling"),
-    ("credit_by", "request", "work_unit"),
 ];
 
 pub fn named_values(profile: &Map<String, Value>) -> Result<NamedValues, String> {
