Work with little time to spare feels distrust more, and near executors are probed first

Executors are distrusted by running time for all types alike, though stretch 1.75 leaves less than 2.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -1,5 +1,4 @@
 //! Every decision of the dispatcher.
-//!
 //! How to call it: `Dispatcher::new(values, seed, now)`, then `tell(now, event)` for each event of a moment
 //! and one `emit(now, &mut actions)` after them, which alone works out the difference of wanted and present.
 mod following;
@@ -27,6 +26,8 @@
 /// Distrust fades by this time constant; a running time over the usual adds so much of its logarithm to it.
 const DISTRUST_FADE: Millis = 4000.0;
 const SLOW_DISTRUST: f64 = 0.7;
+/// Work with fewer running times to spare feels distrust more, as slow executors make it late.
+const AMPLE: f64 = 3.0;
 /// Past so many outcomes each one more takes the place of one: a score tells how and not how much is done.
 const ENOUGH: f64 = 12.0;
 /// A node that meets each executor seldom distrusts it for so many meetings, within a bound, and one fault
@@ -80,8 +81,7 @@
     ramp: Millis,
     fall: Millis,
     multiple: f64,
-    /// This node's number, if it is told, and how many nodes a budget is dealt to: by settings alone, as all
-    /// must have it alike.
+    /// This node's number, if it is told; and how many nodes a budget is dealt to, alike at all.
     node: Option<u64>,
     dealt: f64,
 }
@@ -345,8 +345,7 @@
         if self.slots[e] > 0.0 { self.slots[e] } else { self.least_slots }
     }
 
-    /// What an executor can do when warm, in slots of a typical one: by its size where the list lowers that
-    /// with load, as reports that leave out the work in hand hardly ever show all slots.
+    /// What an executor can do when warm, in slots: by its size where that falls with load and hides slots.
     fn capacity(&self, e: usize) -> f64 {
         let size = self.kind_sizes.get(&self.listed[e].kind.0).copied().unwrap_or(0.0);
         if size > 0.0 { size } else { self.slots_of(e) }
@@ -563,8 +562,7 @@
             self.fleet.used[e] = now;
         }
         if outcome == Outcome::Completed {
-            // Guards against fresh executors that stay idle: that one is slow while it is cold says nothing
-            // of how it does, and nothing of how much work a work unit is.
+            // Guards against fresh executors that stay idle: slow while cold is nothing against them.
             let warmth = self.warmth(e, sent);
             let ran = (now - sent) * warmth;
             let kind = &mut self.types[project_type];
@@ -732,20 +730,27 @@
         in_scope && able && self.cold_room(e, now) >= self.cost(w)
     }
 
-    /// Chance by warmth and by trust decides who of the allowed is ready. The budget goes by the slowest
-    /// ramp and the lowest start that can be, chance by the root of that, about what executors show.
+    /// Chance by warmth (its root, as executors show) and by trust decides who of the allowed is ready.
     fn let_through(&mut self, now: Millis, wu: WuId, executor: ExecutorId) -> bool {
         let e = executor.0 as usize;
         let fade = self.fleet.fade(now);
         let project_type = self.wus.get(&wu).map_or(0, |w| w.project_type);
         let turned_away = self.fleet.turned_away[e].get(&project_type).copied().unwrap_or_default();
+        let kind = &self.types[project_type];
+        let spare = (kind.turnaround + (kind.stretch - 1.0) * kind.run) / kind.run;
+        let tight = (AMPLE / spare).clamp(1.0, AMPLE);
         let warmth = self.warmth(e, now).sqrt();
-        let far = if self.home.is_some_and(|home| self.fleet.listed[e].place != home) { FAR } else { 1.0 };
+        let far = if self.crosses(executor) { FAR } else { 1.0 };
         let distrust = faded(self.fleet.failed[e], now, fade) + faded(turned_away, now, fade);
-        let chance = far * warmth * (-distrust).exp();
+        let chance = far * warmth * (-distrust * tight).exp();
         chance > 0.98 || self.rng.random::<f64>() < chance
     }
 
+    /// Whether a push there goes to another place, and that is priced.
+    fn crosses(&self, executor: ExecutorId) -> bool {
+        self.home.is_some_and(|home| self.fleet.listed[executor.0 as usize].place != home)
+    }
+
     /// One ready executor, each with the same chance. Where chance lets none through in so many picks, all
     /// that are allowed are ready; those that `but` names come only where there is no other.
     fn pick(&mut self, now: Millis, wu: WuId, but: &[ExecutorId]) -> Option<ExecutorId> {
@@ -791,6 +796,8 @@
         for _ in 0..draws {
             drawn.extend(self.pick(now, wu, &but).filter(|x| !drawn.contains(x)));
         }
+        // Who is near is asked first: where it shows room, the others need not be.
+        drawn.sort_by_key(|&x| self.crosses(x));
         if drawn.is_empty() { self.hold(now, wu) } else { self.probe(now, wu, drawn) }
     }
 
@@ -824,8 +831,7 @@
     fn rank(&self, now: Millis, w: &Wu, executor: ExecutorId, reading: &Reading) -> (f64, bool, f64) {
         let e = executor.0 as usize;
         let (queue, free) = self.fleet.queue_for(e, now, w.slots, reading);
-        let crossed = self.home.is_some_and(|home| self.fleet.listed[e].place != home);
-        (queue, crossed, -free / self.fleet.slots_of(e))
+        (queue, self.crosses(executor), -free / self.fleet.slots_of(e))
     }
 
     /// With all answers in, the best of those drawn; among equal ones chance decides.
@@ -872,8 +878,7 @@
         self.want(wu, Wanted::Out(executor, cut_at, allocs), wake);
     }
 
-    /// Holds a work unit, to draw again halfway, while it may well end within its promised turnaround, then
-    /// gives it up at once.
+    /// Holds a work unit, to draw again halfway, while it may well be in time, then gives it up at once.
     fn hold(&mut self, now: Millis, wu: WuId) {
         let Some(w) = self.wus.get(&wu) else { return };
         if w.is_out() {
@@ -889,8 +894,7 @@
         self.want(wu, Wanted::Held, (now + patience / 2.0).min(until));
     }
 
-    /// An own allocation has ended: the held work unit of most credit for its slots times how long it waits
-    /// asks for room there. By credit alone the type of least credit would never get any.
+    /// Room, maybe: the held work unit of most credit for its slots, times how long it waits, asks there.
     fn room_at(&mut self, now: Millis, executor: ExecutorId) {
         let earns = |wu: &WuId| {
             let w = &self.wus[wu];
@@ -914,8 +918,7 @@
         let shown = self.fleet.slots.iter().copied().filter(|&slots| slots > 0.0);
         self.fleet.least_slots = shown.min_by(f64::total_cmp).unwrap_or(1.0);
         let m = &mut self.monitoring;
-        // The design's C, probe latency over running time, and what the settings charge for a probe as a
-        // share of what a work unit earns.
+        // The design's C, probe latency over running time, and the price of a probe beside what work earns.
         let cost = m.lag.unwrap_or(0.0) / self.fleet.mean_run.max(1.0) + m.price;
         let draws = best_draws(share, m.draws, cost, MOST_DRAWS).unwrap_or(2);
         if draws != m.draws {
--- a/tests/shapes.rs
+++ b/tests/shapes.rs
@@ -251,3 +251,50 @@
     let share = node.node.learned(node.now).waiting_share.expect("answers came");
     assert!(share < 0.06, "{share}");
 }
+
+/// Who is near is asked first, and then nobody else where it shows room: half as many probes as draws go far.
+#[test]
+fn near_ones_are_probed_before_far_ones() {
+    let mut values = values_of(1.0, None);
+    values.insert("prices.probe", Given::Number(0.01));
+    values.insert("prices.cross_place", Given::Number(0.02));
+    values.insert("place", Given::Number(0.0));
+    let mut node = with(values);
+    let entries: Vec<Listing> =
+        (0..40).map(|e| Listing { place: PlaceId(e % 2), ..listing(e, e, Phase::Healthy, None) }).collect();
+    node.list(ListKind::Whole, &entries);
+    let mut far = 0;
+    for _ in 0..400 {
+        let (wu, actions) = node.arrive(0);
+        let first = actions.iter().find_map(|a| match a {
+            Action::Probe { executor } => Some(executor.0),
+            _ => None,
+        });
+        far += first.expect("somebody is drawn") % 2;
+        node.answer(actions, |_| 0.0);
+        node.end(wu, 0, Outcome::Completed);
+    }
+    // Of the draws 0.3 / 1.3 go far; only where all of two or three do, a far one is first.
+    assert!(far < 40, "{far} of 400");
+}
+
+/// A slow executor is left to work that has time to spare.
+#[test]
+fn work_with_little_time_to_spare_keeps_off_slow_executors() {
+    let mut values = values_of(1.0, None);
+    // Ten running times to spare, and next to one.
+    for (k, turnaround) in [(0, 1000.0), (3, 20.0)] {
+        values.insert(format!("project_types.{k}.promised_turnaround"), Given::Number(turnaround));
+    }
+    let mut node = with(values);
+    node.warm(4);
+    let mut sent = [[0; 4]; 2];
+    for k in 0..4000 {
+        let of = k % 2;
+        let (wu, executor) = node.pushed([0, 3][of]);
+        node.now += if executor.0 == 1 { 250.0 } else { 100.0 };
+        node.end(wu, 0, Outcome::Completed);
+        sent[of][executor.0 as usize] += usize::from(k >= 1000);
+    }
+    assert!(3 * sent[1][1] < 2 * sent[0][1], "{sent:?}");
+}
