--- a/src/rules.rs
+++ b/src/rules.rs
@@ -562,8 +562,8 @@
             self.fleet.used[e] = now;
         }
         if outcome == Outcome::Completed {
-            // Guards against fresh executors that stay idle: slow while cold is nothing against them.
-            let warmth = self.warmth(e, sent);
+            // Guards against fresh executors that stay idle: among many nodes, slow while cold is no fault.
+            let warmth = if self.nodes > MOST_DEALT { self.warmth(e, sent) } else { 1.0 };
             let ran = (now - sent) * warmth;
             let kind = &mut self.types[project_type];
             if warmth >= 1.0 {
@@ -730,7 +730,7 @@
         in_scope && able && self.cold_room(e, now) >= self.cost(w)
     }
 
-    /// Chance by warmth (its root, as executors show) and by trust decides who of the allowed is ready.
+    /// Chance by warmth (among many nodes its root) and by trust decides who of the allowed is ready.
     fn let_through(&mut self, now: Millis, wu: WuId, executor: ExecutorId) -> bool {
         let e = executor.0 as usize;
         let fade = self.fleet.fade(now);
@@ -739,7 +739,7 @@
         let kind = &self.types[project_type];
         let spare = (kind.turnaround + (kind.stretch - 1.0) * kind.run) / kind.run;
         let tight = (AMPLE / spare).clamp(1.0, AMPLE);
-        let warmth = self.warmth(e, now).sqrt();
+        let warmth = self.warmth(e, now).powf(if self.nodes > MOST_DEALT { 0.5 } else { 1.0 });
         let far = if self.crosses(executor) { FAR } else { 1.0 };
         let distrust = faded(self.fleet.failed[e], now, fade) + faded(turned_away, now, fade);
         let chance = far * warmth * (-distrust * tight).exp();
