--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -123,7 +123,7 @@
     let own_path = OperatorFile::named();
     let file = own_path.as_deref().map(OperatorFile::read).transpose()?.unwrap_or_default();
     file.fits(&values)?;
-    let peers = file.peers.clone().map(|p| Peers::listen(p.listen, p.nodes)).transpose()?;
+    let peers = file.peers.clone().map(|p| Peers::listen(p.listen, p.nodes, passed.is_some())).transpose()?;
     let limits = Rc::new(Limits::of(&Stated {
         memory_mb: told.limits.memory_mb,
         sockets: told.limits.sockets,
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -1,6 +1,7 @@
 //! What nodes tell one another, as datagrams between addresses that the operator's file names. They may be lost,
 //! late, doubled or forged: no rule rests on one, and what is not understood or comes from elsewhere is counted.
 use crate::events::Event;
+use socket2::{Domain, Socket, Type};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -19,13 +20,19 @@
 }
 
 impl Peers {
+    /// Where `shared`, the process before this one may still have the address; each datagram then comes to one.
+    ///
     /// # Errors
     /// Where the address cannot be had.
-    pub fn listen(at: SocketAddr, others: Vec<SocketAddr>) -> Result<Rc<Self>, String> {
-        let socket = std::net::UdpSocket::bind(at).and_then(|socket| {
+    pub fn listen(at: SocketAddr, others: Vec<SocketAddr>, shared: bool) -> Result<Rc<Self>, String> {
+        let bound = || {
+            let socket = Socket::new(Domain::for_address(at), Type::DGRAM, None)?;
+            socket.set_reuse_port(shared)?;
+            socket.bind(&at.into())?;
             socket.set_nonblocking(true)?;
-            UdpSocket::from_std(socket)
-        });
+            UdpSocket::from_std(socket.into())
+        };
+        let socket = bound();
         let socket = socket.map_err(|e| format!("`peers.listen`: cannot listen at {at}: {e}"))?;
         Ok(Rc::new(Peers { socket, others: others.into_iter().filter(|other| *other != at).collect() }))
     }
@@ -68,3 +75,18 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[tokio::test]
+    async fn only_a_next_process_shares_an_address() {
+        let free = std::net::UdpSocket::bind("127.0.0.1:0").and_then(|socket| socket.local_addr()).unwrap();
+        let first = Peers::listen(free, Vec::new(), true).expect("it is free");
+        assert!(Peers::listen(free, Vec::new(), true).is_ok(), "a next process");
+        let why = Peers::listen(free, Vec::new(), false).map(|_| ()).expect_err("another node");
+        assert!(why.starts_with("`peers.listen`: cannot listen at"), "{why}");
+        drop(first);
+    }
+}
