--- a/crates/wirehost/src/host.rs
+++ b/crates/wirehost/src/host.rs
@@ -21,6 +21,9 @@
     numbers: Numbers,
     load_fields: LoadFields,
     called: bool,
+    /// Messages that were not understood, and whether that is to be said.
+    passed_over: u64,
+    says_so: bool,
 }
 
 fn outcome(code: StateCode) -> Outcome {
@@ -129,9 +132,10 @@
             }
             "inbox" => {
                 let inbox: decode::Inbox = decode::parse(line)?;
-                // What a node sends is not in our hands: what is not understood is passed over.
-                if let Some(said) = inbox.said() {
-                    self.tell(inbox.i, now, |_| Event::Told(said));
+                // What a node sends is not in our hands: what is not understood is passed over, and counted.
+                match inbox.said() {
+                    Some(said) => self.tell(inbox.i, now, |_| Event::Told(said)),
+                    None => self.passed_over(inbox.i),
                 }
             }
             // Other ops are not for us; they must be JSON all the same.
@@ -148,6 +152,8 @@
             node: Dispatcher::new(named_values(&create.profile_data)?, create.nonce64, now),
             numbers: Numbers::default(),
             called: true,
+            passed_over: 0,
+            says_so: false,
         };
         self.instances.insert(create.i, instance);
         self.called.retain(|&called| called != create.i);
@@ -198,11 +204,27 @@
         instance.node.tell(now, event);
     }
 
+    fn passed_over(&mut self, i: u64) {
+        let Some(instance) = self.instances.get_mut(&i) else { return };
+        instance.passed_over += 1;
+        // Each power of two is said, so that a crowd of them does not fill the log.
+        if instance.passed_over.is_power_of_two() {
+            instance.says_so = true;
+            if !std::mem::replace(&mut instance.called, true) {
+                self.called.push(i);
+            }
+        }
+    }
+
     fn reply(&mut self, now: Millis, reply: &mut Vec<u8>) {
         for i in self.called.drain(..) {
             let Some(instance) = self.instances.get_mut(&i) else { continue };
             instance.called = false;
             instance.node.emit(now, &mut self.actions);
+            if std::mem::take(&mut instance.says_so) {
+                let count = instance.passed_over;
+                self.actions.push(Action::Log(format!("{count} messages passed over: not understood")));
+            }
             for action in self.actions.drain(..) {
                 encode::action(reply, i, &instance.numbers, &action);
             }
--- a/crates/wirehost/tests/wire.rs
+++ b/crates/wirehost/tests/wire.rs
@@ -32,6 +32,12 @@
     let (halt, again) = (r#"{"op":"halt","i":3}"#, r#"{"unknown":1,"op":"some_new_op"}"#);
     let gone = r#"{"op":"withdrawn","i":3,"call":"61f8e9340e6f2b19"}"#;
     let done = r#"{"op":"done"}"#;
+    // A peer's message in base64: what it says is heard, what is not understood is counted.
+    let peer = |body: &str| format!(r#"{{"op":"inbox","i":3,"origin_peer":1,"body":{body}}}"#);
+    let (dropped, odd) =
+        (peer("\"AQE=\""), [peer("\"AQ==\""), peer("\"AQEB\""), peer("\"?\""), peer("null")]);
+    let heard = r#"{"op":"emit","i":3,"line":"idle connections dropped: none is used again after 200 ms"}"#;
+    let counted = r#"{"op":"emit","i":3,"line":"4 messages passed over: not understood"}"#;
     let probe_b = PROBE.replace("executor_a", "executor_b");
     for (input, expected) in [
         (lines(&[BEGIN, END]), vec![done]),
@@ -42,6 +48,9 @@
         // Halted and made anew within a batch: nothing of the first life is left.
         (lines(&[BEGIN, CREATE, SHEET, KNOWN, REQUEST, halt, CREATE, KNOWN, END]), vec![done]),
         (lines(&[BEGIN, CREATE, SHEET, KNOWN, REQUEST, halt, END]), vec![done]),
+        (lines(&[BEGIN, CREATE, &dropped, &dropped, END]), vec![heard, done]),
+        (lines(&[BEGIN, CREATE, &odd[0], &odd[1], &odd[2], &odd[3], END]), vec![counted, done]),
+        (lines(&[BEGIN, &dropped, &odd[0], END]), vec![done]),
         (lines(&[BEGIN, CREATE, SHEET, KNOWN, again, gone, halt, gone, END]), vec![done]),
     ] {
         let (out, err, well) = run(&input);
@@ -61,6 +70,13 @@
         (r#"{"op":"new_request","i":3,"call":"61f8e9340e6f2b19","priority":0}"#, 2, "time_left"),
         (r#"{"op":"peers_known","i":3,"kind":"total","stamp":1,"sheet":9}"#, 2, "sheet 9"),
         (r#"{"op":"create","i":3,"nonce64":5,"profile_data":{"balancers":"two"}}"#, 2, "balancers"),
+        (
+            r#"{"op":"create","i":3,"nonce64":5,"profile_data":{"limits":{"second_copies":"yes"}}}"#,
+            2,
+            "`limits.second_copies`",
+        ),
+        (r#"{"op":"create","i":3,"nonce64":5,"profile_data":{"limits":{"peers":1}}}"#, 2, "`limits.peers`"),
+        (r#"{"op":"create","i":3,"nonce64":5,"profile_data":{"weight_source":3}}"#, 2, "`weight_source`"),
         ("{\"op\":\"timer\",\"i\":3,\u{1}", 2, "column"),
     ] {
         let (out, err, well) = run(&format!("{BEGIN}\n{line}\n{END}\n"));
