--- a/src/rules.rs
+++ b/src/rules.rs
@@ -324,6 +324,13 @@
         self.judged[e] = (seen * kept, now);
     }
 
+    /// Guards against executors that turn away or swallow one project type, and complete all else.
+    fn turn_away(&mut self, e: usize, project_type: usize, now: Millis) {
+        let fade = self.fade(now);
+        let (score, at) = self.turned_away[e].entry(project_type).or_insert((0.0, now));
+        (*score, *at) = (faded((*score, *at), now, fade) + (fade / DISTRUST_FADE).min(MOST_FAULT), now);
+    }
+
     fn own_change(&mut self, e: usize, now: Millis, slots: f64) {
         let changes = &mut self.own_changes[e];
         while changes.front().is_some_and(|&(at, _)| at < now - READING_LIFE) {
@@ -551,10 +558,7 @@
             // Its connection was gone before: no fault of the executor.
             self.on_dropped(now, true);
         } else if outcome == Outcome::Full {
-            // Guards against executors that take all but one project type, and complete all else.
-            let fade = self.fleet.fade(now);
-            let (score, at) = self.fleet.turned_away[e].entry(project_type).or_insert((0.0, now));
-            (*score, *at) = (faded((*score, *at), now, fade) + (fade / DISTRUST_FADE).min(MOST_FAULT), now);
+            self.fleet.turn_away(e, project_type, now);
         } else if !matches!(outcome, Outcome::Completed | Outcome::NotSent | Outcome::Cancelled) {
             self.fleet.fault(e, now);
         }
@@ -674,6 +678,7 @@
         if !a.waits() || !w.answers.iter().any(|(x, r)| *x == a.executor && roomy(r)) {
             return self.wait(wu);
         }
+        self.fleet.turn_away(a.executor.0 as usize, w.project_type, now);
         if a.idle < self.idle_stated {
             self.on_dropped(now, true);
         }
@@ -872,9 +877,8 @@
             spent.push((now, cost));
         }
         self.fleet.own_change(e, now, slots);
-        let kind = &self.types[w.project_type];
-        let looks = self.copies && allocs < kind.most_allocs && kind.effect == Effect::Rerunnable;
-        let wake = if looks { now + kind.turnaround.max(READING_LIFE) } else { f64::INFINITY };
+        let looks_at = now + self.types[w.project_type].turnaround.max(READING_LIFE);
+        let wake = if self.copies { looks_at } else { f64::INFINITY };
         self.want(wu, Wanted::Out(executor, cut_at, allocs), wake);
     }
 
