What is swallowed is remembered by type; work of all types is looked after where copies are allowed

Only rerunnable work was looked after. Now what has not begun though its executor shows room counts against that executor for its type, unless it went over a connection that had been idle.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -148,7 +148,6 @@
 }
 
 impl Wu {
-    /// Whether an allocation is out: then nothing is answered yet.
     fn is_out(&self) -> bool {
         self.allocs.iter().any(|a| a.outcome.is_none())
     }
@@ -238,8 +237,8 @@
     /// Whether nodes may tell one another, and what is to be told.
     talks: bool,
     tellings: Vec<Telling>,
-    /// Whether a second copy may run beside the first, and starts are told.
-    copies: bool,
+    /// After how long work that has not begun is looked after: where second copies may run and starts are told.
+    looks_after: Millis,
     following: Following,
     beside_until: Millis,
     log: Vec<String>,
@@ -391,7 +390,7 @@
             drops_until: 0.0,
             talks: false,
             tellings: Vec::new(),
-            copies: false,
+            looks_after: f64::INFINITY,
             following: Following { ask_at, stood: false, failures: 0, ask_every: 0.0 },
             beside_until: 0.0,
             log: Vec::new(),
@@ -665,7 +664,6 @@
         self.want(wu, wanted, f64::INFINITY);
     }
 
-    /// Waits for the allocations that are out.
     fn wait(&mut self, wu: WuId) {
         let Some((w, a)) = self.wus.get(&wu).and_then(|w| Some((w, w.allocs.last()?))) else { return };
         self.want(wu, Wanted::Out(a.executor, w.limit, w.allocs.len()), f64::INFINITY);
@@ -678,9 +676,10 @@
         if !a.waits() || !w.answers.iter().any(|(x, r)| *x == a.executor && roomy(r)) {
             return self.wait(wu);
         }
-        self.fleet.turn_away(a.executor.0 as usize, w.project_type, now);
-        if a.idle < self.idle_stated {
+        if a.idle < self.idle_stated && now >= self.drops_until {
             self.on_dropped(now, true);
+        } else {
+            self.fleet.turn_away(a.executor.0 as usize, w.project_type, now);
         }
         self.draw(now, wu)
     }
@@ -751,7 +750,6 @@
         chance > 0.98 || self.rng.random::<f64>() < chance
     }
 
-    /// Whether a push there goes to another place, and that is priced.
     fn crosses(&self, executor: ExecutorId) -> bool {
         self.home.is_some_and(|home| self.fleet.listed[executor.0 as usize].place != home)
     }
@@ -877,8 +875,7 @@
             spent.push((now, cost));
         }
         self.fleet.own_change(e, now, slots);
-        let looks_at = now + self.types[w.project_type].turnaround.max(READING_LIFE);
-        let wake = if self.copies { looks_at } else { f64::INFINITY };
+        let wake = now + self.types[w.project_type].turnaround.max(self.looks_after);
         self.want(wu, Wanted::Out(executor, cut_at, allocs), wake);
     }
 
--- a/src/rules/retune.rs
+++ b/src/rules/retune.rs
@@ -52,7 +52,8 @@
         self.fleet.falling = values.text("list_sizes") == "falling";
         self.idle_stated = values.number("limits.idle_connection", 0.0);
         self.talks = values.flag("limits.peers");
-        self.copies = values.flag("limits.second_copies") && values.flag("executors.tell_start");
+        let looks = values.flag("limits.second_copies") && values.flag("executors.tell_start");
+        self.looks_after = if looks { READING_LIFE } else { f64::INFINITY };
         self.following.ask_every = values.number("rules.ask_every", 10_000.0);
     }
 }
