--- a/crates/daemon/src/driver.rs
+++ b/crates/daemon/src/driver.rs
@@ -383,7 +383,10 @@
                 self.wake = Some(self.wake.map_or(at, |wake| wake.min(at)));
             }
             Action::CloseIdle { executor } => self.executors.close_idle(executor),
-            Action::Tell(said) => self.peers.iter().for_each(|peers| peers.tell(said)),
+            Action::Tell(said) => {
+                let words = self.words.now();
+                self.peers.iter().for_each(|peers| peers.tell(said, words.type_names()));
+            }
             Action::FollowList => self.follow.notify_one(),
             Action::Log(line) => tracing::info!("{line}"),
         }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -200,7 +200,7 @@
     );
     driver.peers = peers.clone();
     if let Some(peers) = peers {
-        spawn_local(peers.hear(events.clone()));
+        spawn_local(peers.hear(words.clone(), events.clone()));
     }
     let version = told.known.as_ref().map(|known| known.version);
     let before = told.known.as_ref().map_or(Vec::new(), |known| known.entries.clone());
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -1,6 +1,7 @@
 //! What nodes tell one another, as datagrams between addresses that the operator's file names. They may be lost,
 //! late, doubled or forged: no rule rests on one, and what is not understood or comes from elsewhere is counted.
 use crate::events::Event;
+use crate::words::{InForce, Vocabulary};
 use socket2::{Domain, Socket, Type};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -9,7 +10,7 @@
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 use troutknot::{Event as Heard, Telling};
-use troutknot_hosting::{MOST_TOLD, telling, told};
+use troutknot_hosting::{MOST_TOLD, TypeNames, telling, told};
 
 /// What was passed over is said in the log once in so long.
 const SAID_EVERY: Duration = Duration::from_secs(10);
@@ -38,15 +39,15 @@
     }
 
     /// Tells all others. What finds no room on its way is dropped, as any of it may be.
-    pub fn tell(&self, said: Telling) {
-        let bytes = telling(said);
+    pub fn tell(&self, said: Telling, types: TypeNames) {
+        let bytes = telling(said, types);
         for other in &self.others {
             let _ = self.socket.try_send_to(&bytes, *other);
         }
     }
 
     /// Hears the others until the node ends.
-    pub async fn hear(self: Rc<Self>, events: mpsc::Sender<Event>) {
+    pub async fn hear(self: Rc<Self>, words: Rc<InForce<Vocabulary>>, events: mpsc::Sender<Event>) {
         // One byte over the most shows what is longer.
         let mut bytes = [0; MOST_TOLD + 1];
         let (mut passed_over, mut said) = (0u64, Instant::now() - SAID_EVERY);
@@ -57,7 +58,7 @@
                 continue;
             };
             let known = self.others.contains(&from);
-            match told(&bytes[..length]).filter(|_| known) {
+            match told(&bytes[..length], words.now().type_names()).filter(|_| known) {
                 Some(heard) => {
                     // Guards against a crowd of messages: with no room for one, it is lost like any other.
                     let _ = events.try_send(Event::Heard(Heard::Told(heard)));
--- a/crates/daemon/src/words.rs
+++ b/crates/daemon/src/words.rs
@@ -234,6 +234,11 @@
         (name(&self.project_types, work.project_type.0), name(&self.customers, work.customer.0))
     }
 
+    /// The names of project types by their numbers, of all that were ever taken.
+    pub fn type_names(&self) -> &[String] {
+        &self.project_types
+    }
+
     /// The project types that are taken, by name.
     pub fn taken_types(&self) -> impl Iterator<Item = (&str, ProjectTypeId)> {
         self.taken_types.iter().map(|(name, &number)| (name.as_str(), ProjectTypeId(number)))
--- a/crates/hosting/src/lib.rs
+++ b/crates/hosting/src/lib.rs
@@ -8,7 +8,7 @@
 pub use naming::named_values;
 use serde_json::{Map, Value};
 use std::collections::HashMap;
-pub use telling::{MOST_TOLD, telling, told};
+pub use telling::{MOST_TOLD, TypeNames, telling, told, type_names};
 use troutknot::{ExecutorId, Millis, Reading};
 
 /// FNV-1a of a name, so that every node has the same number for it.
--- a/crates/hosting/src/telling.rs
+++ b/crates/hosting/src/telling.rs
@@ -1,27 +1,58 @@
 //! What nodes tell one another, as bytes: a version, a kind, and what the kind holds. Whoever reads passes over
 //! what it does not know, so that releases may differ among the nodes.
-use troutknot::Telling;
+use crate::token;
+use serde_json::{Map, Value};
+use troutknot::{ProjectTypeId, Telling};
 
 /// The longest message that may be sent or is read.
 pub const MOST_TOLD: usize = 256;
 const VERSION: u8 = 1;
 const DROPPED: u8 = 1;
+const TURNED_AWAY: u8 = 2;
+
+/// The names of project types by their numbers here, which may be others at another node.
+pub type TypeNames<'a> = &'a [String];
+
+/// The names of the project types as the settings list them; empty where one has none.
+pub fn type_names(settings: &Map<String, Value>) -> Vec<String> {
+    let entries = settings.get("project_types").and_then(Value::as_array).into_iter().flatten();
+    entries.map(|entry| entry.get("name").and_then(Value::as_str).unwrap_or("").to_string()).collect()
+}
 
 /// A message as bytes.
 ///
 /// ```
-/// use troutknot::Telling::Dropped;
+/// use troutknot::{ProjectTypeId, Telling::TurnedAway};
 /// use troutknot_hosting::{telling, told};
-/// assert_eq!(told(&telling(Dropped)), Some(Dropped));
+/// let (here, there) = (["a".to_string(), "b".to_string()], ["b".to_string()]);
+/// let bytes = telling(TurnedAway { token: 7, project_type: ProjectTypeId(1) }, &here);
+/// assert_eq!(told(&bytes, &there), Some(TurnedAway { token: 7, project_type: ProjectTypeId(0) }));
 /// ```
-pub fn telling(telling: Telling) -> Vec<u8> {
-    let Telling::Dropped = telling;
-    vec![VERSION, DROPPED]
+pub fn telling(telling: Telling, types: TypeNames) -> Vec<u8> {
+    match telling {
+        Telling::Dropped => vec![VERSION, DROPPED],
+        Telling::TurnedAway { token: executor, project_type } => {
+            let name = types.get(project_type.0 as usize).map_or("", String::as_str);
+            let mut bytes = vec![VERSION, TURNED_AWAY];
+            bytes.extend_from_slice(&executor.to_le_bytes());
+            bytes.extend_from_slice(&(token(name) as u16).to_le_bytes());
+            bytes
+        }
+    }
 }
 
-/// What a message says; none where it is cut, too long or of another form.
-pub fn told(bytes: &[u8]) -> Option<Telling> {
-    (bytes == [VERSION, DROPPED]).then_some(Telling::Dropped)
+/// What a message says; none where it is cut, too long, of another form or of a type that is not known here.
+pub fn told(bytes: &[u8], types: TypeNames) -> Option<Telling> {
+    match bytes {
+        [VERSION, DROPPED] => Some(Telling::Dropped),
+        [VERSION, TURNED_AWAY, a, b, c, d, e, f] => {
+            let name = u16::from_le_bytes([*e, *f]);
+            let found = types.iter().rposition(|other| token(other) as u16 == name)?;
+            let project_type = ProjectTypeId(found as u32);
+            Some(Telling::TurnedAway { token: u32::from_le_bytes([*a, *b, *c, *d]), project_type })
+        }
+        _ => None,
+    }
 }
 
 #[cfg(test)]
@@ -30,15 +61,21 @@
 
     #[test]
     fn odd_messages_say_nothing() {
+        let types = ["render".to_string()];
+        let good = telling(Telling::TurnedAway { token: 9, project_type: ProjectTypeId(0) }, &types);
+        assert!(told(&good, &types).is_some());
         for (what, bytes) in [
             ("empty", vec![]),
-            ("cut", vec![VERSION]),
-            ("longer", vec![VERSION, DROPPED, 0]),
+            ("cut", good[..5].to_vec()),
+            ("cut to its version", vec![VERSION]),
+            ("longer", [&good[..], &[0]].concat()),
+            ("a short one that is longer", vec![VERSION, DROPPED, 0]),
             ("too long", vec![VERSION; MOST_TOLD + 1]),
             ("of another version", vec![VERSION + 1, DROPPED]),
-            ("of another kind", vec![VERSION, DROPPED + 8]),
+            ("of another kind", vec![VERSION, 9]),
+            ("of a type that is not known here", [&good[..6], &[0, 0]].concat()),
         ] {
-            assert_eq!(told(&bytes), None, "{what}");
+            assert_eq!(told(&bytes, &types), None, "{what}");
         }
     }
 }
--- a/crates/wirehost/src/decode.rs
+++ b/crates/wirehost/src/decode.rs
@@ -3,7 +3,7 @@
 use serde::{Deserialize, Deserializer};
 use std::borrow::Cow;
 use troutknot::{Telling, WuId};
-use troutknot_hosting::told;
+use troutknot_hosting::{TypeNames, told};
 
 pub fn parse<'a, T: Deserialize<'a>>(line: &'a [u8]) -> Result<T, String> {
     serde_json::from_slice(line).map_err(|e| e.to_string().replace(" at line 1 column ", ", column "))
@@ -183,7 +183,7 @@
 }
 
 impl Inbox<'_> {
-    pub fn said(&self) -> Option<Telling> {
-        told(&BASE64_STANDARD.decode(self.body.as_deref()?).ok()?)
+    pub fn said(&self, types: TypeNames) -> Option<Telling> {
+        told(&BASE64_STANDARD.decode(self.body.as_deref()?).ok()?, types)
     }
 }
--- a/crates/wirehost/src/encode.rs
+++ b/crates/wirehost/src/encode.rs
@@ -1,7 +1,7 @@
 //! Actions as lines of the wire.
 use base64::prelude::{BASE64_STANDARD, Engine};
 use troutknot::{Action, Millis, WuId};
-use troutknot_hosting::{Numbers, telling};
+use troutknot_hosting::{Numbers, TypeNames, telling};
 
 fn micros(at: Millis) -> u64 {
     (at * 1000.0).round().max(0.0) as u64
@@ -31,7 +31,7 @@
 }
 
 /// Writes one action of one instance as a line.
-pub fn action(out: &mut Vec<u8>, instance: u64, numbers: &Numbers, action: &Action) {
+pub fn action(out: &mut Vec<u8>, instance: u64, numbers: &Numbers, types: TypeNames, action: &Action) {
     match action {
         Action::Push { wu, executor, cut_at } => {
             open(out, "forward", instance);
@@ -71,7 +71,7 @@
         Action::Tell(said) => {
             open(out, "announce", instance);
             out.extend_from_slice(b",\"to\":null");
-            text(out, ",\"body\":", &BASE64_STANDARD.encode(telling(*said)));
+            text(out, ",\"body\":", &BASE64_STANDARD.encode(telling(*said, types)));
         }
         Action::FollowList => {
             open(out, "listen", instance);
--- a/crates/wirehost/src/host.rs
+++ b/crates/wirehost/src/host.rs
@@ -3,7 +3,7 @@
 use crate::encode;
 use std::collections::BTreeMap;
 use troutknot::*;
-use troutknot_hosting::{LoadFields, Numbers, millis, named_values, token};
+use troutknot_hosting::{LoadFields, Numbers, millis, named_values, token, type_names};
 
 #[derive(Default)]
 pub struct Host {
@@ -20,6 +20,8 @@
     node: Dispatcher,
     numbers: Numbers,
     load_fields: LoadFields,
+    /// The names of the project types by their numbers.
+    types: Vec<String>,
     called: bool,
     /// Messages that were not understood, and whether that is to be said.
     passed_over: u64,
@@ -133,7 +135,8 @@
             "inbox" => {
                 let inbox: decode::Inbox = decode::parse(line)?;
                 // What a node sends is not in our hands: what is not understood is passed over, and counted.
-                match inbox.said() {
+                let types = self.instances.get(&inbox.i).map(|instance| instance.types.as_slice());
+                match inbox.said(types.unwrap_or_default()) {
                     Some(said) => self.tell(inbox.i, now, |_| Event::Told(said)),
                     None => self.passed_over(inbox.i),
                 }
@@ -149,6 +152,7 @@
     fn create(&mut self, now: Millis, create: decode::Create) -> Result<(), String> {
         let instance = Instance {
             load_fields: LoadFields::stated(&create.profile_data),
+            types: type_names(&create.profile_data),
             node: Dispatcher::new(named_values(&create.profile_data)?, create.nonce64, now),
             numbers: Numbers::default(),
             called: true,
@@ -226,7 +230,7 @@
                 self.actions.push(Action::Log(format!("{count} messages passed over: not understood")));
             }
             for action in self.actions.drain(..) {
-                encode::action(reply, i, &instance.numbers, &action);
+                encode::action(reply, i, &instance.numbers, &instance.types, &action);
             }
         }
         reply.extend_from_slice(b"{\"op\":\"done\"}\n");
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -35,6 +35,8 @@
 const MEETINGS: f64 = 4.0;
 const LONGEST_FADE: Millis = 30_000.0;
 const MOST_FAULT: f64 = 3.0;
+/// What another node says counts for so much, and fades: it never shuts an executor out.
+const HEARSAY: f64 = 1.5;
 /// Part of the cold budget that is used, as only mean running times are known. It is dealt to so many nodes
 /// for each time that a slot's part at the start holds the longest promised turnaround, at most to these.
 const COLD_HEADROOM: f64 = 0.8;
@@ -237,7 +239,7 @@
     /// Whether nodes may tell one another, and what is to be told.
     talks: bool,
     tellings: Vec<Telling>,
-    /// After how long work that has not begun is looked after: where second copies may run and starts are told.
+    /// After how long work that has not begun is looked after, where copies may run and starts are told.
     looks_after: Millis,
     following: Following,
     beside_until: Millis,
@@ -323,11 +325,21 @@
         self.judged[e] = (seen * kept, now);
     }
 
-    /// Guards against executors that turn away or swallow one project type, and complete all else.
-    fn turn_away(&mut self, e: usize, project_type: usize, now: Millis) {
+    /// Guards against executors that turn away or swallow one project type, and complete all else. What was
+    /// seen here and is new is told; what others say counts for less and fades.
+    fn turn_away(
+        &mut self,
+        e: usize,
+        project_type: ProjectTypeId,
+        now: Millis,
+        seen: bool,
+    ) -> Option<Telling> {
         let fade = self.fade(now);
-        let (score, at) = self.turned_away[e].entry(project_type).or_insert((0.0, now));
-        (*score, *at) = (faded((*score, *at), now, fade) + (fade / DISTRUST_FADE).min(MOST_FAULT), now);
+        let score = self.turned_away[e].entry(project_type.0 as usize).or_insert((0.0, now));
+        let before = faded(*score, now, fade);
+        *score = (before.max(if seen { (fade / DISTRUST_FADE).min(MOST_FAULT) } else { HEARSAY }), now);
+        let token = self.listed[e].token as u32;
+        (seen && before < HEARSAY / 2.0).then_some(Telling::TurnedAway { token, project_type })
     }
 
     fn own_change(&mut self, e: usize, now: Millis, slots: f64) {
@@ -429,6 +441,10 @@
             Event::Ended { wu, alloc, outcome, closed } => self.on_ended(now, wu, alloc, outcome, closed),
             Event::Recovered { wu, executor, sent } => self.on_recovered(now, wu, executor, sent),
             Event::Told(Telling::Dropped) => self.on_dropped(now, false),
+            Event::Told(Telling::TurnedAway { token, project_type }) => {
+                let of = self.fleet.listed.iter().position(|l| l.token as u32 == token);
+                of.map(|e| self.fleet.turn_away(e, project_type, now, false));
+            }
             Event::Beside { runs: true } => self.beside_until = f64::INFINITY,
             Event::Beside { runs: false } => self.beside_until = now + self.cold.fall,
             Event::Learned(learned) => self.on_learned(learned),
@@ -557,7 +573,8 @@
             // Its connection was gone before: no fault of the executor.
             self.on_dropped(now, true);
         } else if outcome == Outcome::Full {
-            self.fleet.turn_away(e, project_type, now);
+            let kind = ProjectTypeId(project_type as u32);
+            self.tellings.extend(self.fleet.turn_away(e, kind, now, true));
         } else if !matches!(outcome, Outcome::Completed | Outcome::NotSent | Outcome::Cancelled) {
             self.fleet.fault(e, now);
         }
@@ -604,7 +621,7 @@
     fn on_dropped(&mut self, now: Millis, seen: bool) {
         if now >= self.drops_until {
             self.log.push(format!("idle connections dropped: none is used again after {LEAST_IDLE} ms"));
-            self.tellings.extend((seen && self.talks).then_some(Telling::Dropped));
+            self.tellings.extend(seen.then_some(Telling::Dropped));
         }
         self.drops_until = now + DROPS_FOR;
     }
@@ -679,7 +696,8 @@
         if a.idle < self.idle_stated && now >= self.drops_until {
             self.on_dropped(now, true);
         } else {
-            self.fleet.turn_away(a.executor.0 as usize, w.project_type, now);
+            let (e, kind) = (a.executor.0 as usize, ProjectTypeId(w.project_type as u32));
+            self.tellings.extend(self.fleet.turn_away(e, kind, now, true));
         }
         self.draw(now, wu)
     }
@@ -960,7 +978,7 @@
                 actions.push(Action::Probe { executor });
             }
         }
-        actions.extend(self.tellings.drain(..).map(Action::Tell));
+        actions.extend(self.tellings.drain(..).filter(|_| self.talks).map(Action::Tell));
         let first = self.wakes.first().map_or(f64::INFINITY, |&(bits, _)| f64::from_bits(bits));
         let wake = first.min(self.following.ask_at);
         if wake < self.wake_set {
--- a/src/terms.rs
+++ b/src/terms.rs
@@ -211,6 +211,8 @@
 pub enum Telling {
     /// A connection that had been idle was gone unseen.
     Dropped,
+    /// The executor of that token (its lower half) turned work of a project type away though it showed room.
+    TurnedAway { token: u32, project_type: ProjectTypeId },
 }
 
 #[derive(Clone, PartialEq, Debug)]
