--- a/src/rules.rs
+++ b/src/rules.rs
@@ -28,10 +28,7 @@
 const SLOW_DISTRUST: f64 = 0.7;
 /// Work with fewer running times to spare feels distrust more, as slow executors make it late.
 const AMPLE: f64 = 3.0;
-/// Past so many outcomes each one more takes the place of one: a score tells how and not how much is done.
-const ENOUGH: f64 = 12.0;
-/// A node that meets each executor seldom distrusts it for so many meetings, within a bound, and one fault
-/// counts for as many as it would else have met in that time, up to a bound.
+/// Distrust stands for so many meetings within a bound, and a fault counts for as many within another.
 const MEETINGS: f64 = 4.0;
 const LONGEST_FADE: Millis = 30_000.0;
 const MOST_FAULT: f64 = 3.0;
@@ -46,14 +43,12 @@
 const WINDOW_MARGIN: f64 = 0.8;
 /// Part of the time that a mean work unit has to spare within its promised turnaround; short ones have less.
 const PATIENCE: f64 = 0.25;
-/// Span over which own answers are counted and a customer saves up what it did not ask for, and the least
-/// that it may save: among many nodes its part is under one work unit a span, which no traffic keeps to.
+/// Span over which a customer saves up what it did not ask for, and the least that it may save.
 const SPAN: Millis = 2000.0;
 const LEAST_SAVED: f64 = 3.0;
 const PICKS: usize = 40;
 /// From this smoothed share of answers with a queue on, room is short everywhere, also where none is held.
 const SHORT_SHARE: f64 = 0.3;
-/// A reset so soon, before any start, is the connection's.
 const BROKE_WITHIN: Millis = 150.0;
 /// Where idle connections are dropped unseen, none is used again that was idle for longer, for so long.
 const LEAST_IDLE: Millis = 200.0;
@@ -96,8 +91,6 @@
     failed: Vec<(f64, Millis)>,
     /// The same for each project type that it turned away though it had shown room.
     turned_away: Vec<BTreeMap<usize, (f64, Millis)>>,
-    /// How many outcomes it was made of, fading alike.
-    judged: Vec<(f64, Millis)>,
     /// Where sizes fall with load: the largest that the list has shown of each kind of machine.
     falling: bool,
     kind_sizes: BTreeMap<u32, f64>,
@@ -278,7 +271,6 @@
         while self.listed.len() <= e {
             self.listed.push(Listing { phase: Phase::Gone, started: None, ..*entry });
             self.failed.push((0.0, 0.0));
-            self.judged.push((0.0, 0.0));
             self.turned_away.push(BTreeMap::new());
             self.slots.push(0.0);
             self.reading.push(Reading::default());
@@ -319,14 +311,10 @@
     }
 
     fn add_distrust(&mut self, e: usize, now: Millis, by: f64) {
-        let seen = faded(self.judged[e], now, DISTRUST_FADE) + 1.0;
-        let kept = (ENOUGH / seen).min(1.0);
-        self.failed[e] = ((faded(self.failed[e], now, self.fade(now)) + by) * kept, now);
-        self.judged[e] = (seen * kept, now);
+        self.failed[e] = (faded(self.failed[e], now, self.fade(now)) + by, now);
     }
 
-    /// Guards against executors that turn away or swallow one project type, and complete all else. What was
-    /// seen here and is new is told; what others say counts for less and fades.
+    /// Guards against executors that turn away or swallow one project type; what is new is told.
     fn turn_away(
         &mut self,
         e: usize,
@@ -337,7 +325,8 @@
         let fade = self.fade(now);
         let score = self.turned_away[e].entry(project_type.0 as usize).or_insert((0.0, now));
         let before = faded(*score, now, fade);
-        *score = (before.max(if seen { (fade / DISTRUST_FADE).min(MOST_FAULT) } else { HEARSAY }), now);
+        let by = (fade / DISTRUST_FADE).min(MOST_FAULT);
+        *score = (if seen { before + by } else { before.max(HEARSAY) }, now);
         let token = self.listed[e].token as u32;
         (seen && before < HEARSAY / 2.0).then_some(Telling::TurnedAway { token, project_type })
     }
@@ -351,8 +340,7 @@
         self.own_out[e] = (self.own_out[e] + slots).max(0.0);
     }
 
-    /// Guards against a herd of this node's own: a reading is made now and then and arrives late, so pushes
-    /// newer than it are added, and what has ended since is taken off.
+    /// Guards against a herd of this node's own: pushes and endings newer than the reading are counted.
     fn unseen(&self, e: usize, now: Millis) -> f64 {
         let since = (self.read_at[e] - READING_DELAY).max(now - READING_LIFE);
         self.own_changes[e].iter().filter(|&&(at, _)| at >= since).map(|&(_, slots)| slots).sum()
@@ -546,8 +534,7 @@
             let Some(nth) = asked.filter(|_| w.wanted == Wanted::Probed) else { continue };
             let last = nth + 1 >= w.probed;
             w.answers.extend(answer.map(|(_, reading)| (executor, reading)));
-            // With no queue, no crossing and no own work, those still to be probed could at best tie; where
-            // probes are priced, an emptier one would not be worth one more.
+            // Those still to be probed could at best tie, or are emptier, which is not worth a price.
             let rank = answer.map(|(_, reading)| self.rank(now, &self.wus[&wu], executor, &reading));
             let enough = self.fleet.own_out[e] < 0.5 || self.monitoring.price > 0.0;
             match rank.is_some_and(|r| r.0 < 0.5 && !r.1 && enough) {
@@ -570,7 +557,6 @@
         self.fleet.met = (faded(self.fleet.met, now, DISTRUST_FADE) + 1.0, now);
         // Only executors that showed room are sent to; one that is full all the same reports wrongly.
         if dropped {
-            // Its connection was gone before: no fault of the executor.
             self.on_dropped(now, true);
         } else if outcome == Outcome::Full {
             let kind = ProjectTypeId(project_type as u32);
@@ -616,8 +602,7 @@
         self.want(wu, Wanted::Out(executor, limit, allocs), f64::INFINITY);
     }
 
-    /// Guards against connections that are dropped unseen while idle: what is sent on one is lost, and may
-    /// have run. A node that meets each executor seldom learns late, so whoever sees it tells the others.
+    /// Guards against connections that are dropped unseen while idle; whoever sees it tells the others.
     fn on_dropped(&mut self, now: Millis, seen: bool) {
         if now >= self.drops_until {
             self.log.push(format!("idle connections dropped: none is used again after {LEAST_IDLE} ms"));
@@ -711,8 +696,7 @@
         }
     }
 
-    /// This node's part of an executor's cold budget. It is dealt to few nodes that follow from the executor
-    /// alone: all together stay under the whole, and among hundreds a part is still more than a work unit.
+    /// This node's part of an executor's cold budget, dealt to few nodes that follow from the executor alone.
     fn cold_part(&self, e: usize) -> f64 {
         let (nodes, dealt) = (self.nodes as u64, self.cold.dealt as u64);
         let Some(node) = self.cold.node else { return 1.0 / self.nodes };
@@ -772,8 +756,7 @@
         self.home.is_some_and(|home| self.fleet.listed[executor.0 as usize].place != home)
     }
 
-    /// One ready executor, each with the same chance. Where chance lets none through in so many picks, all
-    /// that are allowed are ready; those that `but` names come only where there is no other.
+    /// One ready executor, each with the same chance; those that `but` names where there is no other.
     fn pick(&mut self, now: Millis, wu: WuId, but: &[ExecutorId]) -> Option<ExecutorId> {
         // The few nodes to which a cold one's budget is dealt draw it for all the others too.
         let dealt = self.fleet.dealt.len() as f64 * (self.nodes / self.cold.dealt - 1.0);
@@ -847,8 +830,7 @@
         self.want(wu, Wanted::Probed, wake);
     }
 
-    /// The shortest queue first; among equal ones the node's own place where crossing is priced, then the
-    /// least part of the slots in use, which guards against the herd of all nodes on readings a little old.
+    /// The shortest queue first, then the node's own place, then the least part of the slots in use.
     fn rank(&self, now: Millis, w: &Wu, executor: ExecutorId, reading: &Reading) -> (f64, bool, f64) {
         let e = executor.0 as usize;
         let (queue, free) = self.fleet.queue_for(e, now, w.slots, reading);
