--- a/src/rules.rs
+++ b/src/rules.rs
@@ -28,6 +28,8 @@
 const SLOW_DISTRUST: f64 = 0.7;
 /// Work with fewer running times to spare feels distrust more, as slow executors make it late.
 const AMPLE: f64 = 3.0;
+/// Past so many outcomes each one more takes the place of one: a score tells how and not how much is done.
+const ENOUGH: f64 = 12.0;
 /// Distrust stands for so many meetings within a bound, and a fault counts for as many within another.
 const MEETINGS: f64 = 4.0;
 const LONGEST_FADE: Millis = 30_000.0;
@@ -91,13 +93,14 @@
     failed: Vec<(f64, Millis)>,
     /// The same for each project type that it turned away though it had shown room.
     turned_away: Vec<BTreeMap<usize, (f64, Millis)>>,
+    /// How many outcomes it was made of, fading alike.
+    judged: Vec<(f64, Millis)>,
     /// Where sizes fall with load: the largest that the list has shown of each kind of machine.
     falling: bool,
     kind_sizes: BTreeMap<u32, f64>,
     /// The most slots that reports have shown, and the least of these; it stands in where none are shown yet.
     slots: Vec<f64>,
     least_slots: f64,
-    /// The healthy ones: who may be drawn.
     healthy: Vec<ExecutorId>,
     /// The cold ones of them of whose budget this node holds more than an even part.
     dealt: Vec<ExecutorId>,
@@ -150,7 +153,6 @@
 
 #[derive(Clone, Copy, PartialEq, Default)]
 enum Wanted {
-    /// Probes are wanted or out for what was drawn.
     #[default]
     Probed,
     /// So many allocations in all, the last one there and cut then.
@@ -164,7 +166,6 @@
 struct Wu {
     project_type: usize,
     slots: f64,
-    /// Beyond its customer's share.
     over: bool,
     /// When the client first asked, for an earlier try perhaps.
     asked: Millis,
@@ -173,7 +174,6 @@
     allocs: Vec<Alloc>,
     drawn: Vec<ExecutorId>,
     answers: Vec<(ExecutorId, Reading)>,
-    /// How many of the drawn were probed so far.
     probed: usize,
     draws: u32,
     wake: Millis,
@@ -217,7 +217,6 @@
     home: Option<PlaceId>,
     fleet: Fleet,
     wus: HashMap<WuId, Wu>,
-    /// Held work units, the longest held first.
     held: Vec<WuId>,
     /// Work units whose wanted state may differ from what is out.
     touched: Vec<WuId>,
@@ -271,6 +270,7 @@
         while self.listed.len() <= e {
             self.listed.push(Listing { phase: Phase::Gone, started: None, ..*entry });
             self.failed.push((0.0, 0.0));
+            self.judged.push((0.0, 0.0));
             self.turned_away.push(BTreeMap::new());
             self.slots.push(0.0);
             self.reading.push(Reading::default());
@@ -311,7 +311,10 @@
     }
 
     fn add_distrust(&mut self, e: usize, now: Millis, by: f64) {
-        self.failed[e] = (faded(self.failed[e], now, self.fade(now)) + by, now);
+        let seen = faded(self.judged[e], now, DISTRUST_FADE) + 1.0;
+        let kept = (ENOUGH / seen).min(1.0);
+        self.failed[e] = ((faded(self.failed[e], now, self.fade(now)) + by) * kept, now);
+        self.judged[e] = (seen * kept, now);
     }
 
     /// Guards against executors that turn away or swallow one project type; what is new is told.
@@ -498,7 +501,6 @@
         }
     }
 
-    /// Who may be drawn.
     fn list_ready(&mut self) {
         let f = &self.fleet;
         let ready = f.listed.iter().filter(|l| f.is_ready(l.executor.0 as usize)).map(|l| l.executor);
@@ -813,7 +815,6 @@
         self.probe_next(now, wu);
     }
 
-    /// Wants an answer from the next of those drawn.
     fn probe_next(&mut self, now: Millis, wu: WuId) {
         let Some(w) = self.wus.get_mut(&wu) else { return };
         let Some(&executor) = w.drawn.get(w.probed) else { return self.choose(now, wu) };
@@ -908,7 +909,6 @@
         }
     }
 
-    /// Works out d anew now and then.
     fn recompute_draws(&mut self, now: Millis) {
         let m = &mut self.monitoring;
         let Some(share) = m.waiting_share.filter(|_| now - m.at >= RECOMPUTE_EVERY) else { return };
--- a/src/rules/learned.rs
+++ b/src/rules/learned.rs
@@ -8,8 +8,7 @@
         let spent = |e: usize| f.cold_spent[e].iter().copied().filter(|&(at, _)| at >= now - self.cold.fall);
         let of = |x: &Listing| {
             let e = x.executor.0 as usize;
-            // Earlier releases read how much was judged, too.
-            let (failed, judged, slots) = (f.failed[e], (0.0, 0.0), f.slots[e]);
+            let (failed, judged, slots) = (f.failed[e], f.judged[e], f.slots[e]);
             LearnedExecutor { executor: x.executor, failed, judged, slots, cold_spent: spent(e).collect() }
         };
         let (mean_run, waiting_share, lag, draws) = (f.mean_run, m.waiting_share, m.lag, m.draws);
@@ -23,7 +22,8 @@
         for l in learned.executors {
             let e = l.executor.0 as usize;
             if e < f.listed.len() {
-                (f.failed[e], f.slots[e], f.cold_spent[e]) = (l.failed, l.slots, l.cold_spent);
+                (f.failed[e], f.judged[e], f.slots[e], f.cold_spent[e]) =
+                    (l.failed, l.judged, l.slots, l.cold_spent);
             }
         }
         for (kind, (run, seen)) in self.types.iter_mut().zip(learned.runs).filter(|(_, run)| run.1 > 0.0) {
