--- a/tests/helpers/mod.rs
+++ b/tests/helpers/mod.rs
@@ -1,4 +1,5 @@
 //! Shared by the tests: a node with given values and short ways to tell it things.
+#![allow(dead_code)]
 use troutknot::*;
 
 pub struct Node {
