--- a/crates/daemon/tests/shape.rs
+++ b/crates/daemon/tests/shape.rs
@@ -32,7 +32,7 @@
     let limits = |key, value| ("limits", key, value);
     let (talk, copies) = (limits("peers", json!(true)), limits("second_copies", json!(true)));
     let cases: &[(Value, &str, &str)] = &[
-        (with(&[talk.clone()]), "", "`limits.peers`: true needs [peers]"),
+        (with(std::slice::from_ref(&talk)), "", "`limits.peers`: true needs [peers]"),
         (settings(), &talks, "`limits.peers` is not true"),
         (with(&[copies.clone(), limits("max_allocations", json!(1))]), "", "`limits.max_allocations` of 2"),
         (with(&[copies]), &durable, "`limits.second_copies`: true cannot go with [durable]"),
