Recorded attempts are not judged by the settings of the start that reads them

What callers saw: after a configuration with fewer attempts (max_allocations 5, then 1, by SIGHUP or by an edited file) a node with a ledger did not start again, planned or after SIGKILL. Retries with keys got no connection, open requests were not recovered. The new process of a hot restart answered every durable request 503 for as long as it ran.

Cause: Ledger::restore applied old rows by the rule for new ones. A Dispatched row was valid only below the number of attempts that the settings allow at this start, which is not recorded.

SIGTERM and SIGKILL fail alike, and so does a restart without SIGHUP: neither the end of the process nor the reload is at fault.

Change: validity follows from the rows and from a constant of the format, MAX_ATTEMPTS = 3, which no release has exceeded; the node and `troutknot ledger` share it (the second copy in crates/cli is gone). The limit of the settings decides about new attempts alone. A fourth attempt and all other contradictions are refused as before.

--- a/crates/cli/src/ledger.rs
+++ b/crates/cli/src/ledger.rs
@@ -8,10 +8,6 @@
 use troutknot_ledger::store::{Reader, Rows, Store, StoreError};
 use troutknot_ledger::{AttemptStatus, Job, Ledger};
 
-/// Largest number of attempts per request that a node allows, whatever is configured; the ledger does not store the
-/// configured number.
-const MAX_ATTEMPTS: usize = 3;
-
 /// Inspect, verify or compact the ledger of durable requests
 #[derive(Args)]
 pub struct LedgerArgs {
@@ -71,7 +67,7 @@
 
 fn read(path: &Path) -> Result<LedgerContents, LedgerCommandError> {
     let reader = Reader::open(path)?;
-    let mut contents = LedgerContents { ledger: Ledger::new(MAX_ATTEMPTS), rows: 0, faults: Vec::new() };
+    let mut contents = LedgerContents { ledger: Ledger::default(), rows: 0, faults: Vec::new() };
     let result = reader.for_each_row(|row| {
         contents.rows += 1;
         let restored = row.map_err(|error| error.to_string()).and_then(|row| {
--- a/crates/cli/tests/rehearse.rs
+++ b/crates/cli/tests/rehearse.rs
@@ -250,6 +250,37 @@
     }
 }
 
+/// Guards against a `verify` that disagrees with a node on how many attempts a ledger may have: it knows no settings, and
+/// must accept what a node wrote under any, and nothing more.
+#[test]
+fn verify_accepts_as_many_attempts_as_a_node_records_and_no_more() {
+    use troutknot_ledger::store::Store;
+    use troutknot_ledger::{Fence, MAX_ATTEMPTS, Record, Row};
+    let path = write_file("attempts-ledger", "");
+    let request_id = troutknot::RequestId(0);
+    let (effect, outcome) = (troutknot::Effect::AtMostOnce, troutknot::Outcome::Rejected);
+    let (client_id, key, digest, payload) = ("a1".to_string(), None, [0; 32], vec![]);
+    let mut records =
+        vec![Record::Accepted { request_id, effect, deadline: 2e12, client_id, key, digest, payload }];
+    let mut verify = |fence: u64| {
+        let (executor, lease_until) = ("s-7".into(), 1e12);
+        records.push(Record::Dispatched { request_id, fence: Fence(fence), executor, lease_until });
+        let attempt_id = troutknot::AttemptId(fence as u32 - 1);
+        records.push(Record::Ended { request_id, attempt_id, outcome });
+        let numbered = (0..).zip(records.clone());
+        let rows = numbered.map(|(sequence, record)| Row { recorded_at: 1e12, sequence, record });
+        Store::open(&path).unwrap().commit(&rows.collect::<Vec<_>>()).unwrap();
+        let out = troutknot(&["ledger", "verify", path.to_str().unwrap()]);
+        (out.status.code(), String::from_utf8_lossy(&out.stderr).to_string())
+    };
+    for fence in 1..=MAX_ATTEMPTS as u64 {
+        assert_eq!(verify(fence), (Some(0), String::new()), "{fence} attempts");
+    }
+    let (status, output) = verify(MAX_ATTEMPTS as u64 + 1);
+    let expected = "row 7 of request 0: the request has had the maximum number of attempts";
+    assert!(status == Some(1) && output.contains(expected), "{output}");
+}
+
 /// Guards against a rehearsal that passes although its service is lower than expected.
 #[test]
 fn service_below_the_expected_one_gives_exit_status_1() {
--- a/crates/daemon/src/durable/mod.rs
+++ b/crates/daemon/src/durable/mod.rs
@@ -31,10 +31,7 @@
 use troutknot_clock::Clock;
 use troutknot_ledger::committer::{CommitError, Committer, ReadError, ReadinessError, StartError, SyncMode};
 use troutknot_ledger::store::Store;
-use troutknot_ledger::{Ledger, Record, Row};
-
-/// Bounds on the number of attempts of a durable request; the number within them comes from the settings.
-const ATTEMPTS_RANGE: std::ops::RangeInclusive<usize> = 1..=3;
+use troutknot_ledger::{Ledger, MAX_ATTEMPTS, Record, Row};
 
 /// Why the ledger cannot be used.
 #[derive(Debug, thiserror::Error)]
@@ -103,9 +100,9 @@
     /// If the ledger cannot be opened or read.
     pub fn open(config: DurableConfig, dependencies: DurableDependencies) -> Result<Rc<Self>, DurableError> {
         let DurableDependencies { limits, clock, codec, events, tasks } = dependencies;
-        let max_attempts = codec.load().max_attempts().clamp(*ATTEMPTS_RANGE.start(), *ATTEMPTS_RANGE.end());
+        let max_attempts = codec.load().max_attempts().clamp(1, MAX_ATTEMPTS);
         let started_at = Instant::now();
-        let (committer, ledger) = start_committer(&config, max_attempts)?;
+        let (committer, ledger) = start_committer(&config)?;
         let unrecovered = open_requests(&ledger);
         let clock_offset = (ledger.latest_time() - clock.now()).max(0.0);
         log_opened(&config, &ledger, unrecovered.len(), started_at.elapsed());
@@ -190,14 +187,14 @@
     }
 }
 
-fn start_committer(config: &DurableConfig, max_attempts: usize) -> Result<(Committer, Ledger), DurableError> {
+fn start_committer(config: &DurableConfig) -> Result<(Committer, Ledger), DurableError> {
     let path = config.path.clone();
     let open = Box::new(move || Store::open(&path));
     let sync_mode = match config.sync {
         LedgerSync::Batched => SyncMode::Shared,
         LedgerSync::PerRecord => SyncMode::Separate,
     };
-    let started = Committer::start(open, sync_mode, max_attempts);
+    let started = Committer::start(open, sync_mode);
     started.map_err(|source| DurableError::Open { path: config.path.clone(), source })
 }
 
--- a/crates/daemon/tests/common/mod.rs
+++ b/crates/daemon/tests/common/mod.rs
@@ -84,6 +84,13 @@
         "project_types": [request_class("render", "safe"), request_class("publish", "unsafe")]})
 }
 
+/// The [`settings`] with this limit on the attempts of a request.
+pub fn settings_with_max_attempts(max_attempts: u64) -> Value {
+    let mut settings = settings();
+    settings["limits"]["max_allocations"] = json!(max_attempts);
+    settings
+}
+
 /// Writes a file under a name that no other test uses, and returns its path.
 pub fn write_config_file(text: &str) -> String {
     static NUMBER: AtomicU32 = AtomicU32::new(0);
--- a/crates/ledger/src/committer.rs
+++ b/crates/ledger/src/committer.rs
@@ -128,13 +128,9 @@
     /// # Errors
     /// If the ledger cannot be opened, if a row is damaged or not valid after those before it, or if the thread cannot
     /// be started. The rows are left unchanged.
-    pub fn start(
-        open: OpenStore,
-        sync_mode: SyncMode,
-        max_attempts: usize,
-    ) -> Result<(Self, Ledger), StartError> {
+    pub fn start(open: OpenStore, sync_mode: SyncMode) -> Result<(Self, Ledger), StartError> {
         let store = open()?;
-        let ledger = restore_ledger(&store, max_attempts)?;
+        let ledger = restore_ledger(&store)?;
         let (commands, receiver) = channel();
         let (health, started_at) = (Arc::<DiskHealth>::default(), Instant::now());
         let statistics = store.statistics().clone();
@@ -219,8 +215,8 @@
 }
 
 /// Rebuilds the ledger from all rows of a store, or returns the first error.
-fn restore_ledger(store: &Store, max_attempts: usize) -> Result<Ledger, StartError> {
-    let mut ledger = Ledger::new(max_attempts);
+fn restore_ledger(store: &Store) -> Result<Ledger, StartError> {
+    let mut ledger = Ledger::default();
     let mut first_error = None;
     store.for_each_row(|row| {
         let restored = row.map_err(StartError::from).and_then(|row| {
--- a/crates/ledger/src/job.rs
+++ b/crates/ledger/src/job.rs
@@ -2,6 +2,10 @@
 use crate::record::{Digest, Fence};
 use troutknot::{Effect, Millis, Outcome};
 
+/// Upper bound on the attempts of a request in any ledger, so that further ones are damage. The settings may allow
+/// fewer; that number is not recorded, and can be another one at the next start.
+pub const MAX_ATTEMPTS: usize = 3;
+
 /// Why a request may not be dispatched again now.
 #[derive(Clone, Copy, PartialEq, Eq, Debug, thiserror::Error)]
 pub enum DispatchError {
--- a/crates/ledger/src/ledger.rs
+++ b/crates/ledger/src/ledger.rs
@@ -1,5 +1,5 @@
 //! The state of all durable requests, rebuilt from their records.
-use crate::job::{Attempt, DispatchError, Job};
+use crate::job::{Attempt, DispatchError, Job, MAX_ATTEMPTS};
 use crate::record::{Record, Row};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use troutknot::{AttemptId, Millis, RequestId};
@@ -40,14 +40,13 @@
 }
 
 /// All recorded requests. Their contents and answers are kept on disk only.
-#[derive(Clone, PartialEq, Debug)]
+#[derive(Clone, PartialEq, Debug, Default)]
 pub struct Ledger {
     jobs: BTreeMap<RequestId, Job>,
     by_client_id: HashMap<String, RequestId>,
     by_key: HashMap<String, RequestId>,
     /// Answered requests, sorted by the [`time_bits`] of their answers.
     answered: BTreeSet<(u64, RequestId)>,
-    max_attempts: usize,
     latest_time: Millis,
     next_number: u64,
 }
@@ -58,26 +57,10 @@
 }
 
 impl Ledger {
-    /// Creates an empty ledger for requests with up to `max_attempts` attempts each.
-    pub fn new(max_attempts: usize) -> Self {
-        Ledger {
-            jobs: BTreeMap::new(),
-            by_client_id: HashMap::new(),
-            by_key: HashMap::new(),
-            answered: BTreeSet::new(),
-            max_attempts,
-            latest_time: 0.0,
-            next_number: 0,
-        }
-    }
-
     /// Rebuilds a ledger from rows, which must be in order for each request. Stops at the first invalid row, and
     /// returns its index with the error.
-    pub fn recover<'a>(
-        max_attempts: usize,
-        rows: impl IntoIterator<Item = &'a Row>,
-    ) -> (Self, Option<(usize, RecordError)>) {
-        let mut ledger = Ledger::new(max_attempts);
+    pub fn recover<'a>(rows: impl IntoIterator<Item = &'a Row>) -> (Self, Option<(usize, RecordError)>) {
+        let mut ledger = Ledger::default();
         for (index, row) in rows.into_iter().enumerate() {
             if let Err(error) = ledger.restore(row) {
                 return (ledger, Some((index, error)));
@@ -239,9 +222,8 @@
 
     fn dispatch(&mut self, now: Millis, recorded_at: Millis, record: &Record) -> Result<(), RecordError> {
         let Record::Dispatched { request_id, fence, executor, lease_until } = record else { return Ok(()) };
-        let max_attempts = self.max_attempts;
         let job = self.open_job(*request_id)?;
-        if job.next_fence(now, max_attempts)? > *fence {
+        if job.next_fence(now, MAX_ATTEMPTS)? > *fence {
             return Err(RecordError::FenceNotIncreasing);
         }
         job.attempts.push(Attempt {
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -2,7 +2,8 @@
 //! and reads no clock.
 //!
 //! Each [`Record`] is applied to the [`Ledger`] in the order in which the records were written. A crash can leave any
-//! prefix of them on disk, so the state after each prefix must be a valid one.
+//! prefix of them on disk, so the state after each prefix must be a valid one. Whether a record is valid follows from
+//! the records before it alone, never from settings, which can change while the records stay.
 //! [`store::Store`] keeps the rows in one file, [`committer::Committer`] is the thread that writes them. Times are Unix
 //! milliseconds that the caller passes in.
 //!
@@ -15,6 +16,6 @@
 mod record;
 pub mod store;
 
-pub use job::{Attempt, AttemptStatus, DispatchError, Job};
+pub use job::{Attempt, AttemptStatus, DispatchError, Job, MAX_ATTEMPTS};
 pub use ledger::{Ledger, RecordError};
 pub use record::{Answer, Digest, Fence, Record, Row};
