The ledger's limit on attempts follows a reload, as the dispatcher's does

What callers saw: a node started with max_allocations 1 and reloaded with 3 answered a durable request 503 after one attempt that an executor had turned away; other requests got all three. Until the next restart.

Cause: Durable::open read the limit once, from the settings of the start. The dispatcher takes that of the request's class, so the two guards went by different settings after SIGHUP. A lowered limit was never wrong, as the dispatcher is the stricter guard then.

Evidence: the new test, with the limit raised by SIGHUP: (503, 1 attempt) before, (200, 3 attempts) now. The executor saw one attempt, so the retry was stopped between the decision and the send, where only the ledger stands.

Change: Codec::max_attempts is that of a class, whose terms stay while a request is in flight; Durable asks for it at each attempt. `attempt not recorded` names the attempts on record and the limit.

Test: a_reloaded_limit_on_attempts_applies_to_new_durable_requests, raised, kept by a request in flight, and lowered.

--- a/crates/daemon/src/durable/jobs.rs
+++ b/crates/daemon/src/durable/jobs.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 use troutknot::{AttemptId, Effect, Millis, Outcome, RequestId};
-use troutknot_ledger::{Fence, Record, Row};
+use troutknot_ledger::{Fence, MAX_ATTEMPTS, Record, Row};
 
 /// Interval between searches for answers whose retention time has passed.
 const FORGET_INTERVAL: Duration = Duration::from_millis(200);
@@ -160,12 +160,12 @@
     /// request may not have another attempt or the record was not written; the attempt must not be sent then.
     pub async fn record_attempt(
         self: &Rc<Self>,
-        request_id: RequestId,
+        in_flight: &InFlightRequest,
         executor: &str,
         deadline: Instant,
     ) -> Option<Lease> {
-        let now = self.now();
-        let (attempt_id, fence) = self.next_attempt(request_id, now)?;
+        let (request_id, now) = (in_flight.request_id, self.now());
+        let (attempt_id, fence) = self.next_attempt(in_flight, now)?;
         let until_deadline = deadline.saturating_duration_since(Instant::now());
         let lease_time = self.config.lease_duration.unwrap_or(until_deadline);
         let lease_until = now + to_millis(lease_time);
@@ -178,13 +178,24 @@
 
     /// The id and fence of the next attempt. Logs the reason and returns `None` if the request may not have another
     /// one.
-    fn next_attempt(&self, request_id: RequestId, now: Millis) -> Option<(AttemptId, Fence)> {
+    fn next_attempt(&self, in_flight: &InFlightRequest, now: Millis) -> Option<(AttemptId, Fence)> {
+        let request_id = in_flight.request_id;
+        let max_attempts = self.max_attempts(in_flight);
         let ledger = self.ledger.borrow();
         let job = ledger.job(request_id)?;
-        let fence = job.next_fence(now, self.max_attempts);
-        let log = |error: &_| tracing::warn!(request = request_id.0, %error, "attempt not recorded");
+        let attempts = job.attempts.len();
+        let fence = job.next_fence(now, max_attempts);
+        let log = |error: &_| {
+            tracing::warn!(request = request_id.0, %error, attempts, max_attempts, "attempt not recorded");
+        };
         let fence = fence.inspect_err(log).ok()?;
-        Some((AttemptId(job.attempts.len() as u32), fence))
+        Some((AttemptId(attempts as u32), fence))
+    }
+
+    /// Upper bound on the attempts of a request, which its class keeps when new settings are applied.
+    fn max_attempts(&self, in_flight: &InFlightRequest) -> usize {
+        let max_attempts = self.codec.load().max_attempts(in_flight.request.class);
+        max_attempts.map_or(0, |max_attempts| max_attempts.min(MAX_ATTEMPTS))
     }
 
     /// Removes answers whose retention time has passed, until the task is aborted.
--- a/crates/daemon/src/durable/mod.rs
+++ b/crates/daemon/src/durable/mod.rs
@@ -31,7 +31,7 @@
 use troutknot_clock::Clock;
 use troutknot_ledger::committer::{CommitError, Committer, ReadError, ReadinessError, StartError, SyncMode};
 use troutknot_ledger::store::Store;
-use troutknot_ledger::{Ledger, MAX_ATTEMPTS, Record, Row};
+use troutknot_ledger::{Ledger, Record, Row};
 
 /// Why the ledger cannot be used.
 #[derive(Debug, thiserror::Error)]
@@ -84,7 +84,6 @@
     committer: Committer,
     ledger: RefCell<Ledger>,
     pending_answers: PendingAnswers,
-    max_attempts: usize,
     /// Requests that were open at the start and are not recovered yet, by deadline.
     unrecovered: RefCell<Vec<RequestId>>,
     /// Number of requests that are not recovered yet.
@@ -100,7 +99,6 @@
     /// If the ledger cannot be opened or read.
     pub fn open(config: DurableConfig, dependencies: DurableDependencies) -> Result<Rc<Self>, DurableError> {
         let DurableDependencies { limits, clock, codec, events, tasks } = dependencies;
-        let max_attempts = codec.load().max_attempts().clamp(1, MAX_ATTEMPTS);
         let started_at = Instant::now();
         let (committer, ledger) = start_committer(&config)?;
         let unrecovered = open_requests(&ledger);
@@ -123,7 +121,6 @@
             committer,
             ledger: RefCell::new(ledger),
             pending_answers: PendingAnswers::default(),
-            max_attempts,
             unrecovered_count: Cell::new(unrecovered.len()),
             unrecovered: RefCell::new(unrecovered),
             is_logged_unavailable: Cell::new(false),
--- a/crates/daemon/src/protocol/codec.rs
+++ b/crates/daemon/src/protocol/codec.rs
@@ -23,7 +23,7 @@
     pub(super) machine_type_names: Vec<String>,
     pub(super) class_deadlines: Vec<Duration>,
     class_effects: Vec<Effect>,
-    max_attempts: usize,
+    class_max_attempts: Vec<usize>,
     is_cancel_enabled: bool,
     pub(super) is_retry_after_enabled: bool,
     pub(super) max_retry_after: Millis,
@@ -37,7 +37,7 @@
         Codec {
             class_deadlines: settings.classes.iter().map(deadline).collect(),
             class_effects: settings.classes.iter().map(|class| class.effect).collect(),
-            max_attempts: settings.limits.max_attempts.unwrap_or(1.0) as usize,
+            class_max_attempts: settings.classes.iter().map(|class| settings.max_attempts(class)).collect(),
             current_classes: ids_by_name(&resolved.current_classes, &classes),
             current_tenants: ids_by_name(&resolved.current_tenants, &tenants),
             class_names: classes,
@@ -68,9 +68,9 @@
         self.is_cancel_enabled && self.effect(class) == Some(Effect::Idempotent)
     }
 
-    /// Upper bound on the attempts of a new request.
-    pub fn max_attempts(&self) -> usize {
-        self.max_attempts
+    /// Upper bound on the attempts of requests of this class; none if the class is unknown.
+    pub fn max_attempts(&self, class: RequestClassId) -> Option<usize> {
+        self.class_max_attempts.get(class.0 as usize).copied()
     }
 
     /// The names of a request's class and tenant.
--- a/crates/daemon/src/upstream/attempt.rs
+++ b/crates/daemon/src/upstream/attempt.rs
@@ -129,11 +129,10 @@
         let (Some(durable), Some(executor_name)) = (self.pool.durable.get(), &order.executor_name) else {
             return Recording::NotDurable;
         };
-        let request_id = order.in_flight.request_id;
         let lease = tokio::select! {
             biased;
             () = self.send_forbidden() => None,
-            lease = durable.record_attempt(request_id, executor_name, order.attempt_deadline) => lease,
+            lease = durable.record_attempt(&order.in_flight, executor_name, order.attempt_deadline) => lease,
         };
         lease.map_or(Recording::Refused, Recording::Recorded)
     }
--- a/crates/daemon/tests/durable.rs
+++ b/crates/daemon/tests/durable.rs
@@ -319,6 +319,35 @@
     }
 }
 
+/// A reload of the limit on attempts has to apply to durable requests like to all others: new ones follow it at once,
+/// raised or lowered, and one in flight keeps the limit of its arrival.
+#[test]
+fn a_reloaded_limit_on_attempts_applies_to_new_durable_requests() {
+    let (executor, discovery) = start_executor_and_discovery();
+    let files = create_durable_files("");
+    let node = start_node_with_settings(&discovery, &files, settings_with_max_attempts(1));
+    let post = |actions: &[Action]| {
+        let before = executor.requests.lock().unwrap().len();
+        executor.actions.lock().unwrap().extend(actions);
+        let status = node.send_request(build_request("publish", &next_request_id(), 20.0, "b")).0;
+        executor.actions.lock().unwrap().clear();
+        (status, executor.requests.lock().unwrap().len() - before)
+    };
+    let rejected_twice = [Action::Rejected, Action::Rejected, Action::Done];
+    assert_eq!(post(&rejected_twice), (503, 1), "one attempt by the settings of the start");
+    reload_max_attempts(&node, 3);
+    assert_eq!(post(&rejected_twice), (200, 3), "three attempts after the limit was raised");
+    executor.actions.lock().unwrap().extend([Action::WaitAndReject, Action::Rejected, Action::Done]);
+    let mut client = node.connect();
+    let before = executor.requests.lock().unwrap().len();
+    client.get_mut().write_all(build_request("publish", "open", 20.0, "b").as_bytes()).unwrap();
+    executor.wait_for_attempts(before + 1);
+    reload_max_attempts(&node, 2);
+    executor.resume.send(()).unwrap();
+    assert_eq!(read_response(&mut client).0, 200, "three attempts by the settings of its arrival");
+    assert_eq!(post(&rejected_twice), (503, 2), "two attempts after the limit was lowered");
+}
+
 /// The limit on attempts at a start applies to recovered requests with the attempts on their records, whether it was
 /// raised or lowered. A request over the limit must not be dispatched again, and must still get its answer.
 #[test]
