A durable request is rejected only once its record cannot be recovered

Cause: Durable::accept gave up a late record with a 503 at once; its row stayed in the committer's queue and got to the disk, the rows that withdraw it later. A kill between the commits left an open request.

--- a/crates/daemon/src/downstream/durable_exchange.rs
+++ b/crates/daemon/src/downstream/durable_exchange.rs
@@ -3,7 +3,7 @@
 use super::DownstreamServer;
 use super::admission::{AdmissionError, ConnectionAdmission};
 use super::request::Submission;
-use crate::durable::{Durable, LookupResult, PendingAnswer};
+use crate::durable::{Acceptance, Durable, LookupResult, PendingAnswer};
 use crate::event::NodeEvent;
 use crate::http1::Connection;
 use crate::in_flight::{Answer, ClientRequest};
@@ -62,7 +62,8 @@
 
 /// Result of recording a new durable request.
 enum JobStart {
-    Recorded(PendingJob),
+    /// It is on record or being withdrawn from it, and its answer will follow.
+    Pending(PendingJob),
     /// It was not recorded, and this is its answer.
     NotRecorded(DurableAnswer),
 }
@@ -95,7 +96,7 @@
                 PendingJob { pending_answer, acknowledges: None, last_answer_at }
             }
             LookupResult::New => match self.start_job(&ledger, submission).await? {
-                JobStart::Recorded(pending) => pending,
+                JobStart::Pending(pending) => pending,
                 JobStart::NotRecorded(answer) => return Ok(answer),
             },
         };
@@ -121,18 +122,22 @@
         };
         let (in_flight, last_answer_at) = (admitted.in_flight, admitted.last_answer_at);
         in_flight.is_durable.set(true);
-        let recorded = ledger.accept(&in_flight, last_answer_at).await;
+        let acceptance = ledger.accept(&in_flight, last_answer_at).await;
         // From here on the ledger detects duplicates of it.
         self.server.request_ids.close(&in_flight.request.id);
-        let pending_answer = match recorded {
-            Ok(pending_answer) => pending_answer,
-            Err(answer) => {
-                return Ok(JobStart::NotRecorded(DurableAnswer { answer, acknowledges: None }));
+        match acceptance {
+            Acceptance::Recorded(pending_answer) => {
+                let acknowledges = Some(in_flight.request_id);
+                let _ = self.server.events.send(NodeEvent::RequestArrived(in_flight)).await;
+                Ok(JobStart::Pending(PendingJob { pending_answer, acknowledges, last_answer_at }))
             }
-        };
-        let acknowledges = Some(in_flight.request_id);
-        let _ = self.server.events.send(NodeEvent::RequestArrived(in_flight)).await;
-        Ok(JobStart::Recorded(PendingJob { pending_answer, acknowledges, last_answer_at }))
+            Acceptance::Withdrawn(pending_answer) => {
+                Ok(JobStart::Pending(PendingJob { pending_answer, acknowledges: None, last_answer_at }))
+            }
+            Acceptance::Rejected(answer) => {
+                Ok(JobStart::NotRecorded(DurableAnswer { answer, acknowledges: None }))
+            }
+        }
     }
 
     /// Waits for the answer to a job. The job continues if the client disconnects.
--- a/crates/daemon/src/durable/jobs.rs
+++ b/crates/daemon/src/durable/jobs.rs
@@ -6,7 +6,7 @@
 use crate::units::to_millis;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::time::{Instant, sleep, sleep_until, timeout};
+use tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at};
 use troutknot::{AttemptId, Effect, Millis, Outcome, RequestId};
 use troutknot_ledger::{Fence, MAX_ATTEMPTS, Record, Row};
 
@@ -16,9 +16,6 @@
 /// Maximum number of answers that are removed before other tasks run.
 const MAX_FORGOTTEN: usize = 1000;
 
-/// Interval between attempts to write an answer after a write has failed.
-const WRITE_RETRY_INTERVAL: Duration = Duration::from_millis(200);
-
 /// Retry-After of a request that could not be recorded, in milliseconds.
 const UNRECORDED_RETRY_AFTER: Millis = 1000.0;
 
@@ -36,6 +33,24 @@
     DuplicateId,
 }
 
+/// How the acceptance of a request ended.
+pub enum Acceptance {
+    /// Its record is on disk.
+    Recorded(Rc<PendingAnswer>),
+    /// Its record is not on disk and never will be; with its answer.
+    Rejected(Answer),
+    /// Its record may be on disk. It is never dispatched, and is rejected once its withdrawal is on disk as well.
+    Withdrawn(Rc<PendingAnswer>),
+}
+
+/// Whether the first record of a request was written.
+enum AcceptanceWrite {
+    OnDisk,
+    Cancelled,
+    /// The commit failed or takes too long, so that the record may be on disk, or may yet get there.
+    Uncertain,
+}
+
 impl Durable {
     /// Looks up a request by its idempotency key or, without one, by its id.
     pub fn look_up(&self, request: &ClientRequest) -> LookupResult {
@@ -56,28 +71,51 @@
         }
     }
 
-    /// Accepts a request, and returns once its record is on disk. `answer_by` is the latest time of the answer to the
-    /// client.
-    ///
-    /// # Errors
-    /// The answer to a request that could not be recorded in time; such a request is never dispatched.
-    pub async fn accept(
-        self: &Rc<Self>,
-        in_flight: &Rc<InFlightRequest>,
-        answer_by: Instant,
-    ) -> Result<Rc<PendingAnswer>, Answer> {
+    /// Accepts a request, and returns once its record is on disk, or once it is certain not to get there. A request whose
+    /// record may get there cannot be rejected before its withdrawal is on disk too: after a crash it would be
+    /// recovered and run. `answer_by` is the latest time of the answer to the client.
+    pub async fn accept(self: &Rc<Self>, in_flight: &Rc<InFlightRequest>, answer_by: Instant) -> Acceptance {
         let rejected = Answer::Rejected(Some(UNRECORDED_RETRY_AFTER));
-        let Some(row) = self.apply_accepted(in_flight) else { return Err(rejected) };
+        let Some(row) = self.apply_accepted(in_flight) else { return Acceptance::Rejected(rejected) };
         let request_id = in_flight.request_id;
         let pending = self.pending_answers.get_or_create(request_id);
-        let written = timeout(self.config.slow_sync_threshold, self.write(vec![row])).await;
-        if !matches!(written, Ok(Ok(()))) {
-            tracing::debug!(request = request_id.0, "request rejected, its record is not on disk in time");
-            self.withdraw(request_id, &pending, rejected.clone());
-            return Err(rejected);
+        match self.write_acceptance(row, answer_by).await {
+            AcceptanceWrite::OnDisk => {
+                self.tasks.spawn(self.clone().record_answer(in_flight.clone(), pending.clone(), answer_by));
+                Acceptance::Recorded(pending)
+            }
+            AcceptanceWrite::Cancelled => {
+                tracing::debug!(
+                    request = request_id.0,
+                    "request rejected, its record is not on disk in time"
+                );
+                self.discard(request_id);
+                self.pending_answers.publish(request_id, &pending, rejected.clone());
+                Acceptance::Rejected(rejected)
+            }
+            AcceptanceWrite::Uncertain => {
+                tracing::debug!(request = request_id.0, "request withdrawn, its record may be on disk");
+                self.tasks.spawn(self.clone().withdraw(request_id, pending.clone(), rejected));
+                Acceptance::Withdrawn(pending)
+            }
+        }
+    }
+
+    /// Writes the first record of a request. A write that is not begun in time is cancelled; one that is begun is waited
+    /// for, as the record may be on disk.
+    async fn write_acceptance(&self, row: Row, answer_by: Instant) -> AcceptanceWrite {
+        let mut write = self.begin_write(vec![row]);
+        let mut written = timeout(self.config.slow_sync_threshold, write.finished()).await;
+        if written.is_err() {
+            if write.cancel() {
+                return AcceptanceWrite::Cancelled;
+            }
+            written = timeout_at(answer_by, write.finished()).await;
+        }
+        match written {
+            Ok(Ok(())) => AcceptanceWrite::OnDisk,
+            Ok(Err(_)) | Err(_) => AcceptanceWrite::Uncertain,
         }
-        self.tasks.spawn(self.clone().record_answer(in_flight.clone(), pending.clone(), answer_by));
-        Ok(pending)
     }
 
     /// Applies the first record of a request to the index. Returns `None` if that fails.
@@ -97,12 +135,21 @@
         self.apply(record)
     }
 
-    /// Closes a request whose record was not written in time. A retry by the client is rejected until this is
-    /// recorded, and is a new request afterwards.
-    fn withdraw(&self, request_id: RequestId, pending: &PendingAnswer, answer: Answer) {
-        self.record_in_background(Record::Answered { request_id, answer: payload::to_recorded(&answer) });
-        self.record_in_background(Record::Forgotten { request_id });
-        self.pending_answers.publish(request_id, pending, answer);
+    /// Removes a request whose record will not be written. A retry by the client is a new request.
+    fn discard(&self, request_id: RequestId) {
+        let discarded = self.ledger.borrow_mut().discard(request_id);
+        let log = |error: &_| tracing::warn!(request = request_id.0, %error, "request not discarded");
+        let _ = discarded.inspect_err(log);
+    }
+
+    /// Closes a request whose record may be on disk, and publishes its answer once that is recorded. A retry by the client
+    /// is a new request.
+    async fn withdraw(self: Rc<Self>, request_id: RequestId, pending: Rc<PendingAnswer>, answer: Answer) {
+        let answered = Record::Answered { request_id, answer: payload::to_recorded(&answer) };
+        let records = [answered, Record::Forgotten { request_id }];
+        let rows = records.into_iter().filter_map(|record| self.apply(record)).collect();
+        self.write_until_on_disk(rows).await;
+        self.pending_answers.publish(request_id, &pending, answer);
     }
 
     /// Waits for the answer, records it and publishes it to waiting clients. Continues if the client disconnects.
@@ -116,12 +163,7 @@
         let answer = self.final_answer(&in_flight, answer_by).await;
         let answer = self.consistent_answer(request_id, answer);
         let row = self.apply(Record::Answered { request_id, answer: payload::to_recorded(&answer) });
-        let mut written = self.write(row.into_iter().collect()).await;
-        while written.is_err() {
-            sleep(WRITE_RETRY_INTERVAL).await;
-            // The committer retains the row; an empty write waits until it is on disk.
-            written = self.write(Vec::new()).await;
-        }
+        self.write_until_on_disk(row.into_iter().collect()).await;
         if let Answer::Rejected(_) = answer {
             // Removed so that a retry with the same idempotency key is accepted as a new request.
             self.record_in_background(Record::Forgotten { request_id });
--- a/crates/daemon/src/durable/mod.rs
+++ b/crates/daemon/src/durable/mod.rs
@@ -11,7 +11,7 @@
 mod recovery;
 mod status;
 
-pub use jobs::LookupResult;
+pub use jobs::{Acceptance, LookupResult};
 pub use lease::Lease;
 pub use pending_answers::PendingAnswer;
 
@@ -26,13 +26,18 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::{mpsc, oneshot};
-use tokio::time::Instant;
+use tokio::time::{Instant, sleep};
 use troutknot::{Millis, RequestId};
 use troutknot_clock::Clock;
-use troutknot_ledger::committer::{CommitError, Committer, ReadError, ReadinessError, StartError, SyncMode};
+use troutknot_ledger::committer::{
+    CommitError, Committer, OpenStore, PendingWrite, ReadError, ReadinessError, StartError, SyncMode,
+};
 use troutknot_ledger::store::Store;
 use troutknot_ledger::{Ledger, Record, Row};
 
+/// Interval between attempts to write an answer after a write has failed.
+const WRITE_RETRY_INTERVAL: Duration = Duration::from_millis(200);
+
 /// Why the ledger cannot be used.
 #[derive(Debug, thiserror::Error)]
 pub enum DurableError {
@@ -92,15 +97,45 @@
     is_logged_unavailable: Cell<bool>,
 }
 
+/// Rows that are being written.
+struct RecordWrite {
+    pending: PendingWrite,
+    written: oneshot::Receiver<Result<(), CommitError>>,
+}
+
+impl RecordWrite {
+    /// Waits until the rows are on disk, or until the commit has failed. May be awaited again if it is dropped before it
+    /// completes.
+    async fn finished(&mut self) -> Result<(), CommitError> {
+        let ended = |_| Err(CommitError("the ledger thread has ended".into()));
+        (&mut self.written).await.unwrap_or_else(ended)
+    }
+
+    /// Cancels the write. Returns false if it has begun, so that its rows may reach the disk.
+    fn cancel(&self) -> bool {
+        self.pending.cancel()
+    }
+}
+
 impl Durable {
     /// Opens the ledger and reads its index.
     ///
     /// # Errors
     /// If the ledger cannot be opened or read.
     pub fn open(config: DurableConfig, dependencies: DurableDependencies) -> Result<Rc<Self>, DurableError> {
+        let path = config.path.clone();
+        Durable::open_store(config, dependencies, Box::new(move || Store::open(&path)))
+    }
+
+    /// As [`Durable::open`], with the function that opens the store.
+    fn open_store(
+        config: DurableConfig,
+        dependencies: DurableDependencies,
+        open: OpenStore,
+    ) -> Result<Rc<Self>, DurableError> {
         let DurableDependencies { limits, clock, codec, events, tasks } = dependencies;
         let started_at = Instant::now();
-        let (committer, ledger) = start_committer(&config)?;
+        let (committer, ledger) = start_committer(&config, open)?;
         let unrecovered = open_requests(&ledger);
         let clock_offset = (ledger.latest_time() - clock.now()).max(0.0);
         log_opened(&config, &ledger, unrecovered.len(), started_at.elapsed());
@@ -169,11 +204,26 @@
         true
     }
 
+    /// Queues rows to be written.
+    fn begin_write(&self, rows: Vec<Row>) -> RecordWrite {
+        let (done, written) = oneshot::channel();
+        let pending = self.committer.write(rows, move |result| _ = done.send(result));
+        RecordWrite { pending, written }
+    }
+
     /// Writes rows, and returns once they are on disk.
     async fn write(&self, rows: Vec<Row>) -> Result<(), CommitError> {
-        let (done, written) = oneshot::channel();
-        self.committer.write(rows, move |result| _ = done.send(result));
-        written.await.unwrap_or_else(|_| Err(CommitError("the ledger thread has ended".into())))
+        self.begin_write(rows).finished().await
+    }
+
+    /// Writes rows, and returns once they are on disk, however often that fails before.
+    async fn write_until_on_disk(&self, rows: Vec<Row>) {
+        let mut written = self.write(rows).await;
+        while written.is_err() {
+            sleep(WRITE_RETRY_INTERVAL).await;
+            // The committer retains the rows; an empty write waits until they are on disk.
+            written = self.write(Vec::new()).await;
+        }
     }
 
     /// Reads all rows of a request from the ledger.
@@ -184,9 +234,7 @@
     }
 }
 
-fn start_committer(config: &DurableConfig) -> Result<(Committer, Ledger), DurableError> {
-    let path = config.path.clone();
-    let open = Box::new(move || Store::open(&path));
+fn start_committer(config: &DurableConfig, open: OpenStore) -> Result<(Committer, Ledger), DurableError> {
     let sync_mode = match config.sync {
         LedgerSync::Batched => SyncMode::Shared,
         LedgerSync::PerRecord => SyncMode::Separate,
@@ -215,3 +263,7 @@
         "ledger opened"
     );
 }
+
+#[cfg(test)]
+#[path = "../../tests/unit/durable.rs"]
+mod tests;
--- a/crates/ledger/src/committer.rs
+++ b/crates/ledger/src/committer.rs
@@ -5,7 +5,7 @@
 use crate::record::Row;
 use crate::store::{Rows, Store, StoreError, WriteStatistics};
 use std::collections::VecDeque;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU8, AtomicU64, Ordering};
 use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender, channel};
 use std::sync::{Arc, Mutex};
 use std::thread::{self, JoinHandle};
@@ -76,8 +76,46 @@
 type WriteCallback = Box<dyn FnOnce(Result<(), CommitError>) + Send>;
 type ReadCallback = Box<dyn FnOnce(Result<Vec<Row>, ReadError>) + Send>;
 
+/// State of a [`PendingWrite`] that the thread has not begun.
+const QUEUED: u8 = 0;
+/// State of a [`PendingWrite`] that the thread has begun or completed.
+const BEGUN: u8 = 1;
+/// State of a [`PendingWrite`] that its caller has cancelled.
+const CANCELLED: u8 = 2;
+
+/// Handle of a queued write, by which its caller can cancel it.
+#[derive(Clone, Debug)]
+pub struct PendingWrite(Arc<AtomicU8>);
+
+impl PendingWrite {
+    fn new() -> Self {
+        PendingWrite(Arc::new(AtomicU8::new(QUEUED)))
+    }
+
+    /// Cancels the write unless the thread has begun it. If the result is true, no row of it reaches the disk, and its
+    /// callback is not called; if it is false, the rows may be on disk, or may yet get there.
+    pub fn cancel(&self) -> bool {
+        self.leave_queue(CANCELLED)
+    }
+
+    /// Begins the write. Returns false if it was cancelled.
+    fn begin(&self) -> bool {
+        self.leave_queue(BEGUN)
+    }
+
+    fn leave_queue(&self, state: u8) -> bool {
+        self.0.compare_exchange(QUEUED, state, Ordering::AcqRel, Ordering::Acquire).is_ok()
+    }
+}
+
+struct QueuedWrite {
+    rows: Vec<Row>,
+    callback: WriteCallback,
+    pending: PendingWrite,
+}
+
 enum Command {
-    Write(Vec<Row>, WriteCallback),
+    Write(QueuedWrite),
     /// A row that has no waiting caller.
     WriteLater(Row),
     Read(RequestId, ReadCallback),
@@ -149,9 +187,20 @@
     }
 
     /// Queues rows to be written after all rows queued earlier. `callback` is called with the result of the commit, on
-    /// the ledger's thread. Rows whose commit failed stay queued, although `callback` gets the error.
-    pub fn write(&self, rows: Vec<Row>, callback: impl FnOnce(Result<(), CommitError>) + Send + 'static) {
-        self.send(Command::Write(rows, Box::new(callback)));
+    /// the ledger's thread. Rows whose commit failed stay queued, although `callback` gets the error. The result cancels
+    /// the write before it is begun.
+    pub fn write(
+        &self,
+        rows: Vec<Row>,
+        callback: impl FnOnce(Result<(), CommitError>) + Send + 'static,
+    ) -> PendingWrite {
+        let pending = PendingWrite::new();
+        self.send(Command::Write(QueuedWrite {
+            rows,
+            callback: Box::new(callback),
+            pending: pending.clone(),
+        }));
+        pending
     }
 
     /// Queues a row that has no waiting caller. It is written with the next commit, after 100 ms at the latest.
@@ -240,6 +289,18 @@
     due_at: Option<Instant>,
 }
 
+impl Batch {
+    /// Adds the rows of a write. Returns false if it was cancelled.
+    fn add(&mut self, write: QueuedWrite) -> bool {
+        let has_begun = write.pending.begin();
+        if has_begun {
+            self.rows.extend(write.rows);
+            self.callbacks.push(write.callback);
+        }
+        has_begun
+    }
+}
+
 struct Worker {
     store: Option<Store>,
     open: OpenStore,
@@ -264,11 +325,11 @@
             match command {
                 Ok(Command::Read(request_id, callback)) => callback(self.read(request_id, &batch.rows)),
                 Ok(Command::WriteLater(row)) => self.write_later(row, &mut batch),
-                Ok(Command::Write(rows, callback)) => {
-                    batch.rows.extend(rows);
-                    batch.callbacks.push(callback);
-                    next_command = self.collect_queued_writes(commands, &mut batch);
-                    self.commit_batch(&mut batch);
+                Ok(Command::Write(write)) => {
+                    if batch.add(write) {
+                        next_command = self.collect_queued_writes(commands, &mut batch);
+                        self.commit_batch(&mut batch);
+                    }
                 }
                 Err(RecvTimeoutError::Timeout) => self.commit_batch(&mut batch),
                 Err(RecvTimeoutError::Disconnected) => return self.commit_batch(&mut batch),
@@ -281,10 +342,7 @@
     fn collect_queued_writes(&self, commands: &Receiver<Command>, batch: &mut Batch) -> Option<Command> {
         while self.sync_mode == SyncMode::Shared && batch.rows.len() < MAX_BATCH_ROWS {
             match commands.try_recv().ok()? {
-                Command::Write(rows, callback) => {
-                    batch.rows.extend(rows);
-                    batch.callbacks.push(callback);
-                }
+                Command::Write(write) => _ = batch.add(write),
                 Command::WriteLater(row) => batch.rows.push(row),
                 other => return Some(other),
             }
--- a/crates/ledger/src/ledger.rs
+++ b/crates/ledger/src/ledger.rs
@@ -31,6 +31,9 @@
     /// The request has no final answer yet.
     #[error("the request has no final answer yet")]
     NotAnswered,
+    /// An attempt of the request is recorded.
+    #[error("an attempt of the request is recorded")]
+    HasAttempts,
     /// Another request with the same idempotency key is recorded.
     #[error("the idempotency key is already in use")]
     DuplicateKey,
@@ -94,6 +97,22 @@
         Ok(Row { recorded_at: now, sequence, record })
     }
 
+    /// Removes a request none of whose rows is or will be on disk.
+    ///
+    /// # Errors
+    /// If the request is unknown, or if it has further records than that of its acceptance; nothing is removed then.
+    pub fn discard(&mut self, request_id: RequestId) -> Result<(), RecordError> {
+        let job = self.jobs.get(&request_id).ok_or(RecordError::UnknownRequest)?;
+        if job.answered_at.is_some() {
+            return Err(RecordError::Answered);
+        }
+        if !job.attempts.is_empty() {
+            return Err(RecordError::HasAttempts);
+        }
+        self.remove(request_id);
+        Ok(())
+    }
+
     /// Returns a request, or `None` if it is not recorded.
     pub fn job(&self, request_id: RequestId) -> Option<&Job> {
         self.jobs.get(&request_id)
@@ -242,13 +261,16 @@
         let job = self.jobs.get(&request_id).ok_or(RecordError::UnknownRequest)?;
         let answered_at = job.answered_at.ok_or(RecordError::NotAnswered)?;
         self.answered.remove(&(time_bits(answered_at), request_id));
-        if let Some(forgotten) = self.jobs.remove(&request_id) {
-            self.by_client_id.remove(&forgotten.client_id);
-            forgotten.key.map(|key| self.by_key.remove(&key));
-        }
+        self.remove(request_id);
         Ok(())
     }
 
+    fn remove(&mut self, request_id: RequestId) {
+        let Some(job) = self.jobs.remove(&request_id) else { return };
+        self.by_client_id.remove(&job.client_id);
+        job.key.map(|key| self.by_key.remove(&key));
+    }
+
     fn open_job(&mut self, request_id: RequestId) -> Result<&mut Job, RecordError> {
         let job = self.jobs.get_mut(&request_id).ok_or(RecordError::UnknownRequest)?;
         if job.answered_at.is_some() { Err(RecordError::Answered) } else { Ok(job) }
--- a/crates/ledger/tests/crashes.rs
+++ b/crates/ledger/tests/crashes.rs
@@ -176,6 +176,34 @@
     receiver
 }
 
+/// A caller that gives up a write tells its client that nothing was recorded, so a cancelled row must never get to the
+/// disk, and a write that has begun must not be reported as cancelled.
+#[test]
+fn a_write_is_cancelled_before_it_begins_or_not_at_all() {
+    for sync_mode in [SyncMode::Shared, SyncMode::Separate] {
+        let disk = SimulatedDisk::default();
+        let backend = disk.clone();
+        let (committer, mut ledger) =
+            Committer::start(Box::new(move || Store::with_backend(backend.clone())), sync_mode).unwrap();
+        disk.set_sync_duration(Duration::from_millis(100));
+        let operation_count = disk.operation_count();
+        let mut write = |number| {
+            let (sender, receiver) = mpsc::channel();
+            let row = ledger.apply(1.0, accepted_record(number)).unwrap();
+            (committer.write(vec![row], move |result| _ = sender.send(result)), receiver)
+        };
+        let (begun, begun_result) = write(0);
+        wait_until("the first commit has begun", || disk.operation_count() > operation_count);
+        let (queued, queued_result) = write(1);
+        assert!(queued.cancel() && !begun.cancel(), "{sync_mode:?}");
+        let (_, last_result) = write(2);
+        assert_eq!((begun_result.recv().unwrap(), last_result.recv().unwrap()), (Ok(()), Ok(())));
+        assert!(queued_result.recv().is_err(), "the callback of a cancelled write is not called");
+        let on_disk = summarize(&recover(&Store::with_backend(disk.crash(0)).unwrap()));
+        assert_eq!(on_disk, [(0, 1, false), (2, 1, false)], "{sync_mode:?}");
+    }
+}
+
 /// Callers must not wait for a failed disk, and rows that could not be written must not be lost.
 #[test]
 fn a_disk_error_is_reported_at_once_and_queued_rows_are_written_after_recovery() {
