The status of an attempt is never read from the response to another message

Cause: the query for an attempt's fate took any idle connection, also one on which another response had just ended, and a status names no attempt.

Change: the queries for one attempt use connections that carry nothing else: a new one first, kept for the next query while it is quiet and connections are not scarce. A status that names another request is refused; executors that name none stay compatible.

Not changed: a load probe on a connection with a late copy may read the load that the same executor reported some milliseconds before; by reading, no test.

--- a/crates/daemon/src/protocol/attempt_events.rs
+++ b/crates/daemon/src/protocol/attempt_events.rs
@@ -114,16 +114,22 @@
 
 #[derive(Deserialize)]
 struct AttemptStatusBody {
+    /// The request, if the executor names it.
+    id: Option<String>,
     state: String,
     result: Option<String>,
 }
 
-/// Parses the response to a fence request; none if it is not a valid response to one.
-pub fn parse_attempt_status(head: &ResponseHead, body: &[u8]) -> Option<AttemptStatus> {
+/// Parses the response to a fence request for the request with this id; none if it is not a valid response to one, or
+/// names another request.
+pub fn parse_attempt_status(head: &ResponseHead, body: &[u8], request_id: &str) -> Option<AttemptStatus> {
     if head.status != 200 {
         return None;
     }
     let status: AttemptStatusBody = serde_json::from_slice(body).ok()?;
+    if status.id.is_some_and(|id| id != request_id) {
+        return None;
+    }
     match status.state.as_str() {
         "never" => Some(AttemptStatus::NeverRan),
         "running" => Some(AttemptStatus::Running),
--- a/crates/daemon/src/upstream/attempt_status.rs
+++ b/crates/daemon/src/upstream/attempt_status.rs
@@ -1,4 +1,5 @@
 //! Queries an executor for the status of a recorded attempt whose outcome is unknown.
+use super::connection::PooledConnection;
 use super::executor::{Executor, IdleReuse};
 use super::pool::ExecutorPool;
 use crate::durable::Lease;
@@ -13,6 +14,9 @@
 const QUERY_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Queries the status of one attempt. The query also fences it: an attempt that has not started by then never starts.
+///
+/// A response names no attempt, so the queries use connections that have carried nothing else: a late duplicate of
+/// another response could be taken for the status of this attempt.
 pub(super) struct AttemptStatusQuery<'a> {
     pub pool: &'a ExecutorPool,
     pub executor: &'a Executor,
@@ -28,13 +32,14 @@
         if !self.lease.has_fencing() {
             return None;
         }
+        let mut connection = None;
         loop {
             let probe_timeout = self.pool.limits.timeouts().probe_timeout;
             let status = tokio::select! {
                 biased;
                 () = self.in_flight.closed() => return None,
                 () = sleep_until(self.in_flight.deadline) => return None,
-                status = timeout(probe_timeout, self.query()) => status.ok().flatten(),
+                status = timeout(probe_timeout, self.query(&mut connection)) => status.ok().flatten(),
             };
             match status {
                 Some(AttemptStatus::NeverRan) if self.lease.record_fenced() => {
@@ -54,14 +59,13 @@
         }
     }
 
-    /// Sends one query. Returns `None` if the executor cannot be reached or its response is not valid.
-    async fn query(&self) -> Option<AttemptStatus> {
-        let limits = &self.pool.limits;
-        let connection =
-            self.pool.connect(self.executor, limits.upstream.max_connections, IdleReuse::Any).await;
-        let mut connection = connection.ok()?;
+    /// Sends one query, on the connection of an earlier one for this attempt if there is one. Returns `None` if the
+    /// executor cannot be reached or its response is not valid.
+    async fn query(&self, kept: &mut Option<PooledConnection>) -> Option<AttemptStatus> {
+        let mut connection = self.connection(kept.take()).await?;
+        let request_id = &self.in_flight.request.id;
         let query = self.pool.codec.load().fence_request(
-            &self.in_flight.request.id,
+            request_id,
             self.lease.fence,
             self.lease.age(),
             self.executor.address()?,
@@ -70,10 +74,25 @@
         let mut head = connection.read_response_head().await.ok()?;
         let mut body = BytesMut::new();
         connection.read_body(&mut head.body, &mut body, self.pool.max_response_bytes()).await.ok()?;
-        let status = protocol::parse_attempt_status(&head, &body);
         if head.keep_alive {
-            self.pool.put_back(self.executor, connection);
+            connection.release_buffers();
+            *kept = Some(connection);
+        }
+        protocol::parse_attempt_status(&head, &body, request_id)
+    }
+
+    /// The connection of an earlier query, unless something has arrived on it since or connections are scarce; otherwise
+    /// a new one.
+    async fn connection(&self, kept: Option<PooledConnection>) -> Option<PooledConnection> {
+        let may_keep = |connection: &PooledConnection| {
+            connection.is_quiet() && self.executor.accepts(connection) && self.pool.has_spare_connections()
+        };
+        match kept.filter(may_keep) {
+            Some(connection) => Some(connection),
+            None => {
+                let max_connections = self.pool.limits.upstream.max_connections;
+                self.pool.connect(self.executor, max_connections, IdleReuse::Never).await.ok()
+            }
         }
-        status
     }
 }
--- a/crates/daemon/src/upstream/executor.rs
+++ b/crates/daemon/src/upstream/executor.rs
@@ -69,6 +69,8 @@
     Any,
     /// Only connections on which a duplicate response to the previous attempt can no longer arrive.
     PastDuplicateWindow,
+    /// None: a new connection, on which nothing can arrive that belongs to an earlier message.
+    Never,
 }
 
 /// Connections without a message in progress, ordered by how long they have been idle, longest first.
@@ -97,8 +99,10 @@
     pub fn take(&self, limits: &Limits, reuse: IdleReuse) -> Option<PooledConnection> {
         self.close_unusable(limits);
         let mut idle = self.0.borrow_mut();
-        let may_use = |idle: &IdleConnection| {
-            reuse == IdleReuse::Any || idle.connection.is_past_duplicate_window(limits)
+        let may_use = |idle: &IdleConnection| match reuse {
+            IdleReuse::Any => true,
+            IdleReuse::PastDuplicateWindow => idle.connection.is_past_duplicate_window(limits),
+            IdleReuse::Never => false,
         };
         let position = idle.iter().rposition(may_use)?;
         Some(idle.remove(position).connection)
--- a/crates/daemon/src/upstream/pool.rs
+++ b/crates/daemon/src/upstream/pool.rs
@@ -149,6 +149,16 @@
         limit - (limit / CONNECTIONS_PER_RESERVED).max(1)
     }
 
+    /// Whether attempts could open a further connection.
+    pub(super) fn has_spare_connections(&self) -> bool {
+        self.used_connections() < self.max_connections_for_attempts()
+    }
+
+    /// The number of connections to executors that the processes of this node use.
+    fn used_connections(&self) -> usize {
+        self.open_connections.get() + self.sibling.usage().executors
+    }
+
     /// Upper bound on the bytes of a response with a result. JSON escapes can make it longer than the result, which
     /// is bounded like a body.
     pub(super) fn max_response_bytes(&self) -> usize {
@@ -183,8 +193,7 @@
         if let Some(connection) = executor.idle.take(&self.limits, reuse) {
             return Ok(connection);
         }
-        let open_connections = self.open_connections.get() + self.sibling.usage().executors;
-        if open_connections >= max_connections && !self.close_longest_idle() {
+        if self.used_connections() >= max_connections && !self.close_longest_idle() {
             return Err(ConnectError::Exhausted);
         }
         self.open(executor).await
--- a/crates/daemon/tests/unit/protocol.rs
+++ b/crates/daemon/tests/unit/protocol.rs
@@ -74,3 +74,24 @@
         assert_eq!(outcome_of_head(&head), expected, "{text}");
     }
 }
+
+/// A status that names another request must not be taken for that of the queried one; executors need not name any.
+#[test]
+fn the_status_of_an_attempt_is_refused_if_it_names_another_request() {
+    let (head, _) =
+        http1::parse_response_head(b"HTTP/1.1 200 x\r\nContent-Length: 0\r\n\r\n").unwrap().unwrap();
+    let parse = |body: &str| parse_attempt_status(&head, body.as_bytes(), "a1");
+    for (body, expected) in [
+        (r#"{"state":"never"}"#, Some(AttemptStatus::NeverRan)),
+        (r#"{"id":"a1","state":"never"}"#, Some(AttemptStatus::NeverRan)),
+        (r#"{"id":"a2","state":"never"}"#, None),
+        (r#"{"state":"done","result":"r"}"#, Some(AttemptStatus::Completed("r".into()))),
+        (r#"{"id":"a2","from":"s-1","state":"done","result":"r"}"#, None),
+        (r#"{"id":2,"state":"done","result":"r"}"#, None),
+        (r#"{"state":"done"}"#, None),
+        (r#"{"state":"lost"}"#, Some(AttemptStatus::Unknown)),
+        ("queue=0,x0=9", None),
+    ] {
+        assert_eq!(parse(body), expected, "{body}");
+    }
+}
