The ledger's thread in modules of one job; tests of changed settings and fences apart

Need: committer.rs had grown to 415 lines with the handle, the queue, the thread and the state of the disk in one file, and the test file `durable` to 917 lines. Behaviour is the same.

--- a/crates/daemon/tests/common/mod.rs
+++ b/crates/daemon/tests/common/mod.rs
@@ -1,5 +1,7 @@
 //! Helpers for the tests that run a node as a process.
 #![allow(dead_code)]
+pub mod durable;
+
 use serde_json::{Value, json};
 use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpStream};
