Test of an unreachable executor: its address stays reserved, answers are shown

Traced: the test takes a port by binding and freeing it, and the other tests of the binary bind theirs meanwhile; a scripted executor of another test keeps its port to the end of the process.

Change: the port stays bound, without a listener, while the test runs, so that connections are refused as before and nobody else gets it. Assertions and bounds are as they were; a failure now shows what was answered.

--- a/crates/daemon/tests/common/mod.rs
+++ b/crates/daemon/tests/common/mod.rs
@@ -3,6 +3,7 @@
 pub mod durable;
 
 use serde_json::{Value, json};
+use socket2::{Domain, Socket, Type};
 use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::process::{Child, Command, Stdio};
@@ -16,6 +17,22 @@
 /// Upper bound on each wait of a test for the node or a scripted peer.
 pub const WAIT_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// An address that refuses connections. It stays reserved for as long as this exists, so that no listener of another
+/// test gets it.
+pub struct RefusingAddress {
+    pub addr: SocketAddr,
+    _socket: Socket,
+}
+
+impl RefusingAddress {
+    pub fn reserve() -> Self {
+        // A socket that is bound and does not listen.
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+        socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).unwrap();
+        RefusingAddress { addr: socket.local_addr().unwrap().as_socket().unwrap(), _socket: socket }
+    }
+}
+
 /// Polls a condition until it holds; panics if it does not within [`WAIT_TIMEOUT`].
 pub fn wait_until(description: &str, mut is_met: impl FnMut() -> bool) {
     let deadline = Instant::now() + WAIT_TIMEOUT;
--- a/crates/daemon/tests/node.rs
+++ b/crates/daemon/tests/node.rs
@@ -6,7 +6,7 @@
 use serde_json::{Value, json};
 use std::collections::BTreeMap;
 use std::io::{BufReader, Read, Write};
-use std::net::{TcpListener, TcpStream};
+use std::net::TcpStream;
 use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::{Duration, Instant};
@@ -290,9 +290,9 @@
 #[test]
 fn a_request_for_an_unreachable_executor_is_rejected_only_if_it_was_never_sent() {
     let (reachable, other) = (Executor::start(), Executor::start());
-    let unbound = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let refusing = RefusingAddress::reserve();
     let mut unreachable = entry("s-2", &other, "Ready");
-    unreachable["addr"] = json!(unbound.to_string());
+    unreachable["addr"] = json!(refusing.addr.to_string());
     let discovery = Discovery::start(list(7, true, &[entry("s-1", &reachable, "Ready")]));
     let node = Node::start(&discovery);
     assert_eq!(node.send_request(build_request("publish", "1", 3.0, "")).0, 200);
@@ -305,8 +305,15 @@
     });
     discovery.lines.send(list(8, true, &[unreachable.clone()])).unwrap();
     // The request is never sent, so even one of an at-most-once class is rejected rather than failed, in time.
+    let mut last_status = 0;
     wait_until("the request is rejected", || {
-        node.send_request(build_request("publish", &next_request_id(), 3.0, "")).0 == 503
+        let status = node.send_request(build_request("publish", &next_request_id(), 3.0, "")).0;
+        if status != last_status {
+            // Shown if the test fails: what the node answered instead, and how many requests it sent to `s-1`.
+            println!("status {status}, {} requests at s-1", reachable.requests.lock().unwrap().len());
+            last_status = status;
+        }
+        status == 503
     });
     discovery.lines.send(list(9, true, &[entry("s-1", &reachable, "Ready"), unreachable])).unwrap();
     wait_until("the executor serves again", || {
