--- a/review/common-2/kit.rs
+++ b/review/common-2/kit.rs
@@ -271,8 +271,13 @@
 
 /// A request class of the settings; times in microseconds.
 pub fn class(name: &str, effect: &str, promised: u64, hard_limit: u64) -> String {
+    class_with_scope(name, effect, "all", promised, hard_limit)
+}
+
+/// A request class whose repeats are dropped by the executors of a scope, for 7.5 s.
+pub fn class_with_scope(name: &str, effect: &str, scope: &str, promised: u64, hard_limit: u64) -> String {
     format!(
-        r#"{{"name":"{name}","effect":"{effect}","key_scope":"all","window":7500000,"hard_limit":{hard_limit},"promised_turnaround":{promised},"credit":1.0,"streaming":false,"tardy_credit":0.5}}"#
+        r#"{{"name":"{name}","effect":"{effect}","key_scope":"{scope}","window":7500000,"hard_limit":{hard_limit},"promised_turnaround":{promised},"credit":1.0,"streaming":false,"tardy_credit":0.5}}"#
     )
 }
 
@@ -528,7 +533,7 @@
 pub struct Entry {
     pub address: String,
     pub state: String,
-    pub started_ms: u64,
+    pub cell: u32,
     pub version: u64,
 }
 
@@ -552,10 +557,10 @@
                 continue;
             }
             let comma = if servers.is_empty() { "" } else { "," };
-            let Entry { address, state, started_ms, .. } = entry;
+            let Entry { address, state, cell, .. } = entry;
             let _ = write!(
                 servers,
-                r#"{comma}{{"id":"{id}","addr":"{address}","zone":"a","kind":"m1","cell":0,"state":"{state}","weight":1.0,"started_ms":{started_ms}}}"#
+                r#"{comma}{{"id":"{id}","addr":"{address}","zone":"a","kind":"m1","cell":{cell},"state":"{state}","weight":1.0,"started_ms":0}}"#
             );
         }
         format!(r#"{{"version":{},"full":{},"servers":[{servers}]}}"#, self.version, since.is_none())
@@ -566,7 +571,7 @@
     pub fn start(entries: &[(String, SocketAddr)]) -> Self {
         let mut state = DiscoveryState { version: 41, ..DiscoveryState::default() };
         for (id, address) in entries {
-            let entry = Entry { address: address.to_string(), state: "Ready".into(), started_ms: 0, version: 1 };
+            let entry = Entry { address: address.to_string(), state: "Ready".into(), cell: 0, version: 1 };
             state.entries.insert(id.clone(), entry);
         }
         let state = Arc::new((Mutex::new(state), Condvar::new()));
@@ -593,6 +598,18 @@
         changed.notify_all();
     }
 
+    /// Adds an executor that has been up for long.
+    pub fn add(&self, id: &str, address: SocketAddr, cell: u32) {
+        let (state, changed) = &*self.state;
+        let mut state = state.lock().expect("the list");
+        state.version += 1;
+        let version = state.version;
+        let entry = Entry { address: address.to_string(), state: "Ready".into(), cell, version };
+        state.entries.insert(id.to_string(), entry);
+        note(&format!("discovery: {id} is listed in cell {cell}, version {version}"));
+        changed.notify_all();
+    }
+
     /// The whole list, for `known`.
     pub fn known(&self) -> String {
         self.state.0.lock().expect("the list").list(None)
@@ -732,7 +749,9 @@
     let (state, changed) = shared;
     let mut guard = state.lock().expect("the agent");
     if message.target().contains("/service/far") {
-        return answer_far(name, state, changed, guard, index, stream);
+        let errs = guard.far_errs;
+        drop(guard);
+        return answer_far(name, errs, index, stream);
     }
     if index > 0 {
         guard.last_blocking_at = asked_at;
@@ -762,23 +781,20 @@
     write_to(stream, &(head + &body));
 }
 
-/// Answers a query for the service `far`, which has no instances.
-fn answer_far(
-    name: &str,
-    _state: &Mutex<AgentState>,
-    changed: &Condvar,
-    guard: std::sync::MutexGuard<'_, AgentState>,
-    index: u64,
-    stream: &Arc<Mutex<TcpStream>>,
-) {
-    if guard.far_errs {
+/// Answers a query for the service `far`, which has no instances: a blocking one after 10 s, as nothing changes.
+fn answer_far(name: &str, errs: bool, index: u64, stream: &Arc<Mutex<TcpStream>>) {
+    if errs {
         write_to(stream, "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\nConnection: close\r\n\r\n");
         return;
     }
-    let waited = changed.wait_timeout_while(guard, ms(10_000), |_| index > 0);
-    drop(waited);
+    if index > 0 {
+        sleep_ms(10_000);
+    }
     note(&format!("consul agent {name}: answers for the service far"));
-    write_to(stream, "HTTP/1.1 200 OK\r\nX-Consul-Index: 5\r\nX-Consul-KnownLeader: true\r\nX-Consul-LastContact: 0\r\nContent-Length: 2\r\nConnection: close\r\n\r\n[]");
+    write_to(
+        stream,
+        "HTTP/1.1 200 OK\r\nX-Consul-Index: 5\r\nX-Consul-KnownLeader: true\r\nX-Consul-LastContact: 0\r\nContent-Length: 2\r\nConnection: close\r\n\r\n[]",
+    );
 }
 
 // ----------------------------------------------------------------------------------------------------------- clients
