review: show a durable request that runs in two cells

Case: review/7. A node is killed while a receipted request with the scope 'cell' is out; its executor is replaced, and the restarted node sends the recovered request to another cell within the window. Cause as far as known: an executor that the list does not name is registered by name alone, and its missing cell becomes cell 0.

--- a/review/7/case.rs
+++ b/review/7/case.rs
@@ -1,103 +1,86 @@
-//! An upgrade that is taken back: the new process gets SIGTERM, and for a while neither process accepts.
+//! A durable request with a mark against repeats, a node that is killed, and an executor that is replaced meanwhile.
 #[path = "../common-2/kit.rs"]
 mod kit;
 
 use kit::*;
-use std::sync::{Arc, Mutex};
-use std::thread;
+use std::sync::Arc;
 
-/// How long a client waits, in seconds; the class's hard limit is 3 s.
-const TIMEOUT: f64 = 0.5;
-/// An answer may come so many milliseconds after the client's time and only earn nothing; later it is lost.
-const LATE_AT_MOST: u64 = 500;
-/// Slack for the script's own delays.
-const SLACK: u64 = 100;
-/// Connections that clients keep and rest on.
-const RESTING: usize = 4;
-/// Clients go on opening connections for so long after the new process was asked to end, one each `EVERY` ms.
-const NEW_CONNECTIONS_FOR: u64 = 400;
-const EVERY: u64 = 50;
+/// The work of the executor that is replaced; it goes on when its node is gone, and ends before the executor does.
+const WORK: u64 = 600;
 
 fn main() {
     let case = begin();
     let runs = Arc::new(Runs::default());
-    let executors: Vec<_> =
-        ["s-a", "s-b"].iter().map(|name| (name.to_string(), plain_executor(name, ms(20), &runs))).collect();
-    let discovery = Discovery::start(&executors);
-    let settings =
-        Settings { probes: false, drain_grace_ms: 2000, classes: vec![class("render", "safe", 300_000, 3_000_000)] };
-    // The platform holds the clients' socket, and each process of the node inherits it.
-    let socket = listener();
-    let node = socket.local_addr().expect("an address");
-    let shared = case.path("shared");
-    std::fs::create_dir_all(&shared).expect("a folder");
-    let config = node_file("n0", node, discovery.address, &discovery.known(), &settings.json());
-    let (old_management, new_management) = (free_address(), free_address());
-    let launch = |management| Launch {
+    let x = plain_executor("s-x", ms(WORK), &runs);
+    let a = plain_executor("s-a", ms(50), &runs);
+    let discovery = Discovery::start(&[]);
+    // The list that the node had long ago, and that it is started with again: nobody of those who serve now.
+    let known = discovery.known();
+    discovery.add("s-x", x, 3);
+    let operator_file = case.path("operator.toml");
+    let text = format!(
+        "[durable]\npath = \"{}\"\neffects = [\"exclusive\", \"receipted\"]\n",
+        case.path("ledger").display()
+    );
+    std::fs::write(&operator_file, text).expect("the operator's file");
+    let settings = Settings {
+        probes: false,
+        drain_grace_ms: 2000,
+        classes: vec![class_with_scope("print-order", "keyed", "cell", 1_000_000, 15_000_000)],
+    };
+    let listen = free_address();
+    let config = node_file("n0", listen, discovery.address, &known, &settings.json());
+    let launch = Launch {
         name: "n0",
         config: &config,
-        listen: node,
+        listen,
         discovery: discovery.address,
-        management: Some(management),
-        operator_file: None,
-        passed: Some((&socket, shared.as_path())),
+        management: None,
+        operator_file: Some(&operator_file),
+        passed: None,
     };
-    let mut old = NodeProcess::start(&launch(old_management), "old.log");
-    wait_until_serving(node);
-    let mut new = NodeProcess::start(&launch(new_management), "new.log");
-    wait_until_ready(new_management);
-    note("platform: the new process is ready");
+    let mut node = NodeProcess::start(&launch, "first.log");
+    wait_until_serving(listen);
     sleep_ms(300);
-    // Clients open connections, get an answer each, and keep them.
-    let mut resting = Vec::new();
-    for _ in 0..RESTING {
-        let Ok(mut connection) = ClientConnection::open(node) else { finish(2, "cannot run: no connection") };
-        let id = new_id();
-        if connection.send(&request_text(&id, "render", TIMEOUT, "", "work")).is_err()
-            || connection.receive(ms(2000)).is_none_or(|answer| answer.status != 200)
-        {
-            finish(2, "cannot run: the new process does not answer");
-        }
-        resting.push(connection);
+    let id = new_id();
+    let key = format!("Idempotency-Key: order-{id}\r\n");
+    let Ok(mut client) = ClientConnection::open(listen) else { finish(2, "cannot run: no connection") };
+    let is_sent = client.send(&request_text(&id, "print-order", 15.0, &key, "order")).is_ok();
+    if !is_sent {
+        finish(2, "cannot run: the request could not be sent");
     }
-    sleep_ms(300);
+    note(&format!("client: {id} sent with its key"));
+    wait_for("the request at s-x", ms(3000), || !runs.of("s-x").is_empty());
+    sleep_ms(200);
     if case.has_trouble {
-        note("operator: goes back, the new process gets SIGTERM");
-        new.signal(SIGTERM);
-    }
-    let begun_at = now();
-    let fates = Arc::new(Mutex::new(Vec::new()));
-    let mut clients = Vec::new();
-    while now() < begun_at + NEW_CONNECTIONS_FOR {
-        let fates = fates.clone();
-        clients.push(thread::spawn(move || {
-            let fate = ask(node, "render", TIMEOUT, ms(6000));
-            fates.lock().expect("the fates").push(fate);
-        }));
-        sleep_ms(EVERY);
-    }
-    let mut ended_after = None;
-    while now() < begun_at + 7000 && ended_after.is_none() && case.has_trouble {
-        if new.has_ended() {
-            ended_after = Some(now() - begun_at);
-            note("platform: the new process has ended");
-        }
-        sleep_ms(10);
-    }
-    for client in clients {
-        let _ = client.join();
+        note("platform: the node is killed");
+        node.kill();
+        sleep_ms(WORK);
+        note("executor s-x: has done the request, and is replaced");
+        discovery.set_state("s-x", "Gone");
+        discovery.add("s-a", a, 0);
+        node = NodeProcess::start(&launch, "second.log");
+        wait_until_serving(listen);
+    } else {
+        let answer = client.receive(ms(5000));
+        note(&format!("client: answered {:?}", answer.map(|answer| answer.status)));
+        discovery.set_state("s-x", "Gone");
+        discovery.add("s-a", a, 0);
     }
-    if old.has_ended() {
-        finish(2, "cannot run: the old process has ended");
+    // The client asks again with the same key, as it got no response.
+    let again = new_id();
+    let Ok(mut client) = ClientConnection::open(listen) else { finish(2, "cannot run: no connection") };
+    let is_sent = client.send(&request_text(&again, "print-order", 10.0, &key, "order")).is_ok();
+    let answer = if is_sent { client.receive(ms(12_000)) } else { None };
+    note(&format!("client: asked again as {again}, answered {:?}", answer.map(|answer| answer.status)));
+    if node.has_ended() {
+        finish(2, "cannot run: the node has ended");
     }
-    drop(resting);
-    let latest = (TIMEOUT * 1000.0) as u64 + LATE_AT_MOST + SLACK;
-    let fates = fates.lock().expect("the fates").clone();
-    let lost = fates.iter().filter(|fate| fate.took().is_none_or(|took| took > latest)).count();
-    let longest = fates.iter().filter_map(|fate| fate.took()).max().unwrap_or(0);
+    let all = runs.all();
+    let elsewhere = all.iter().filter(|run| run.executor == "s-a").count();
     let verdict = format!(
-        "{lost} of {} requests had no final answer {latest} ms after they were sent (waiting {TIMEOUT} s); longest answer {longest} ms; the new process ended after {ended_after:?} ms",
-        fates.len()
+        "the request ran {} times in cell 3 and {elsewhere} times in cell 0, which drops no repeats of cell 3",
+        all.len() - elsewhere
     );
-    finish(i32::from(lost > 0), &verdict)
+    finish(i32::from(elsewhere > 0 && all.len() > elsewhere), &verdict)
 }
