--- a/review/common-2/kit.rs
+++ b/review/common-2/kit.rs
@@ -24,6 +24,7 @@
 unsafe extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
     fn dup2(from: i32, to: i32) -> i32;
+    fn fcntl(descriptor: i32, command: i32, ...) -> i32;
     fn prctl(option: i32, ...) -> i32;
 }
 
@@ -215,11 +216,14 @@
                 command.env("TMPDIR", private);
             }
         }
-        // Safe: dup2 and prctl may be called between fork and exec.
+        // Safe: dup2, fcntl and prctl may be called between fork and exec.
         unsafe {
             command.pre_exec(move || {
                 prctl(1, SIGKILL, 0, 0, 0);
                 match socket {
+                    // F_SETFD without FD_CLOEXEC; dup2 would leave the flag as it is.
+                    Some(PASSED_DESCRIPTOR) if fcntl(PASSED_DESCRIPTOR, 2, 0) < 0 => Err(io::Error::last_os_error()),
+                    Some(PASSED_DESCRIPTOR) => Ok(()),
                     Some(socket) if dup2(socket, PASSED_DESCRIPTOR) < 0 => Err(io::Error::last_os_error()),
                     _ => Ok(()),
                 }
