--- a/review/8/case.rs
+++ b/review/8/case.rs
@@ -1,32 +1,72 @@
-//! An upgrade that is taken back: the new process gets SIGTERM, and for a while neither process accepts.
+//! Orders with a key on record, whose clients ask again while the node is upgraded.
 #[path = "../common-2/kit.rs"]
 mod kit;
 
 use kit::*;
+use std::net::{SocketAddr, TcpStream};
 use std::sync::{Arc, Mutex};
 use std::thread;
 
-/// How long a client waits, in seconds; the class's hard limit is 3 s.
-const TIMEOUT: f64 = 0.5;
-/// An answer may come so many milliseconds after the client's time and only earn nothing; later it is lost.
-const LATE_AT_MOST: u64 = 500;
-/// Slack for the script's own delays.
-const SLACK: u64 = 100;
-/// Connections that clients keep and rest on.
-const RESTING: usize = 4;
-/// Clients go on opening connections for so long after the new process was asked to end, one each `EVERY` ms.
-const NEW_CONNECTIONS_FOR: u64 = 400;
-const EVERY: u64 = 50;
+const ORDERS: usize = 5;
+const WORK: u64 = 400;
+/// What a client waits after a 503 that names no time.
+const DEFAULT_WAIT: f64 = 0.5;
+
+/// A sound executor; each of its runs is noted under the order, which is the request's body.
+fn executor(name: &'static str, runs: Arc<Runs>) -> Handler {
+    Arc::new(move |message: &Message, stream: &Arc<Mutex<TcpStream>>| {
+        let id = message.request_id();
+        if id.is_empty() {
+            return write_to(stream, NOT_FOUND);
+        }
+        runs.add(name, &String::from_utf8_lossy(&message.body));
+        sleep_ms(WORK);
+        write_to(stream, &done_answer(&id, name))
+    })
+}
+
+fn order_text(order: &str, key: &str) -> String {
+    request_text(&new_id(), "publish", 3.0, &format!("Idempotency-Key: {key}\r\n"), order)
+}
+
+/// A client that got no response to its order asks again with its key. After a 503, which says that trying again is
+/// harmless, it goes on with another key, until the order is answered.
+fn ask_again(node: SocketAddr, order: &str) -> u16 {
+    let mut key = format!("key-{order}");
+    for number in 1..20 {
+        let answer = ClientConnection::open(node).ok().and_then(|mut connection| {
+            connection.send(&order_text(order, &key)).ok()?;
+            connection.receive(ms(5000))
+        });
+        let Some(answer) = answer else {
+            note(&format!("client of {order}: no response with {key}"));
+            sleep_ms(200);
+            continue;
+        };
+        note(&format!("client of {order}: {} with {key}", answer.status));
+        if answer.status != 503 {
+            return answer.status;
+        }
+        let wait = answer.message.field("Retry-After").and_then(|text| text.parse().ok()).unwrap_or(DEFAULT_WAIT);
+        thread::sleep(std::time::Duration::from_secs_f64(wait));
+        key = format!("key-{order}-{number}");
+    }
+    0
+}
 
 fn main() {
     let case = begin();
     let runs = Arc::new(Runs::default());
-    let executors: Vec<_> =
-        ["s-a", "s-b"].iter().map(|name| (name.to_string(), plain_executor(name, ms(20), &runs))).collect();
+    let executors: Vec<_> = ["s-a", "s-b"]
+        .into_iter()
+        .map(|name| (name.to_string(), serve(listener(), executor(name, runs.clone()))))
+        .collect();
     let discovery = Discovery::start(&executors);
+    let operator_file = case.path("operator.toml");
+    let text = format!("[durable]\npath = \"{}\"\n", case.path("ledger").display());
+    std::fs::write(&operator_file, text).expect("the operator's file");
     let settings =
-        Settings { probes: false, drain_grace_ms: 2000, classes: vec![class("render", "safe", 300_000, 3_000_000)] };
-    // The platform holds the clients' socket, and each process of the node inherits it.
+        Settings { probes: false, drain_grace_ms: 2000, classes: vec![class("publish", "unsafe", 900_000, 3_000_000)] };
     let socket = listener();
     let node = socket.local_addr().expect("an address");
     let shared = case.path("shared");
@@ -39,65 +79,47 @@
         listen: node,
         discovery: discovery.address,
         management: Some(management),
-        operator_file: None,
+        operator_file: Some(&operator_file),
         passed: Some((&socket, shared.as_path())),
     };
     let mut old = NodeProcess::start(&launch(old_management), "old.log");
     wait_until_serving(node);
-    let mut new = NodeProcess::start(&launch(new_management), "new.log");
-    wait_until_ready(new_management);
-    note("platform: the new process is ready");
-    sleep_ms(300);
-    // Clients open connections, get an answer each, and keep them.
-    let mut resting = Vec::new();
-    for _ in 0..RESTING {
-        let Ok(mut connection) = ClientConnection::open(node) else { finish(2, "cannot run: no connection") };
-        let id = new_id();
-        if connection.send(&request_text(&id, "render", TIMEOUT, "", "work")).is_err()
-            || connection.receive(ms(2000)).is_none_or(|answer| answer.status != 200)
-        {
-            finish(2, "cannot run: the new process does not answer");
+    // A client that keeps its connection and rests on it.
+    let Ok(mut resting) = ClientConnection::open(node) else { finish(2, "cannot run: no connection") };
+    let answered = resting.send(&order_text("first", "key-first")).is_ok() && resting.receive(ms(4000)).is_some();
+    if !answered {
+        finish(2, "cannot run: the node does not answer");
+    }
+    let orders: Vec<String> = (0..ORDERS).map(|number| format!("order-{number}")).collect();
+    for order in &orders {
+        let Ok(mut client) = ClientConnection::open(node) else { finish(2, "cannot run: no connection") };
+        if client.send(&order_text(order, &format!("key-{order}"))).is_err() {
+            finish(2, "cannot run: an order could not be sent");
         }
-        resting.push(connection);
+        wait_for("the order's run", ms(3000), || runs.all().iter().any(|run| run.id == *order));
+        note(&format!("client of {order}: loses its connection before the answer"));
     }
-    sleep_ms(300);
+    sleep_ms(WORK + 500);
+    let mut current = None;
     if case.has_trouble {
-        note("operator: goes back, the new process gets SIGTERM");
-        new.signal(SIGTERM);
+        current = Some(NodeProcess::start(&launch(new_management), "new.log"));
+        wait_until_ready(new_management);
+        note("platform: the new process is ready, the old one gets SIGTERM");
+        old.signal(SIGTERM);
     }
-    let begun_at = now();
-    let fates = Arc::new(Mutex::new(Vec::new()));
-    let mut clients = Vec::new();
-    while now() < begun_at + NEW_CONNECTIONS_FOR {
-        let fates = fates.clone();
-        clients.push(thread::spawn(move || {
-            let fate = ask(node, "render", TIMEOUT, ms(6000));
-            fates.lock().expect("the fates").push(fate);
-        }));
-        sleep_ms(EVERY);
-    }
-    let mut ended_after = None;
-    while now() < begun_at + 7000 && ended_after.is_none() && case.has_trouble {
-        if new.has_ended() {
-            ended_after = Some(now() - begun_at);
-            note("platform: the new process has ended");
-        }
-        sleep_ms(10);
-    }
-    for client in clients {
-        let _ = client.join();
+    let clients: Vec<_> =
+        orders.iter().cloned().map(|order| thread::spawn(move || ask_again(node, &order))).collect();
+    let statuses: Vec<u16> = clients.into_iter().map(|client| client.join().unwrap_or(0)).collect();
+    note(&format!("last answers: {statuses:?}"));
+    drop(resting);
+    let process = current.as_mut().unwrap_or(&mut old);
+    if process.has_ended() {
+        finish(2, "cannot run: the node has ended");
     }
-    if old.has_ended() {
-        finish(2, "cannot run: the old process has ended");
+    let count = |order: &&String| runs.all().iter().filter(|run| run.id == **order).count();
+    if orders.iter().any(|order| count(&order) == 0) {
+        finish(2, "cannot run: an order has not run at all");
     }
-    drop(resting);
-    let latest = (TIMEOUT * 1000.0) as u64 + LATE_AT_MOST + SLACK;
-    let fates = fates.lock().expect("the fates").clone();
-    let lost = fates.iter().filter(|fate| fate.took().is_none_or(|took| took > latest)).count();
-    let longest = fates.iter().filter_map(|fate| fate.took()).max().unwrap_or(0);
-    let verdict = format!(
-        "{lost} of {} requests had no final answer {latest} ms after they were sent (waiting {TIMEOUT} s); longest answer {longest} ms; the new process ended after {ended_after:?} ms",
-        fates.len()
-    );
-    finish(i32::from(lost > 0), &verdict)
+    let twice = orders.iter().filter(|order| count(order) > 1).count();
+    finish(i32::from(twice > 0), &format!("{twice} of {ORDERS} orders that must never run twice ran twice"))
 }
