An unknown zone or cell equals no other: no retry outside the first executor's domain

Cause: a zone or cell that is not known became number 0. An attempt's executor that the list no longer names is registered by its name alone, so it counted as one of cell 0 and of the first zone; zones that the settings do not list counted as one; so did Consul instances without `cell`, or with one that is no number.

Change: zone and group are options, and an unknown one equals no other. A retry goes to executors that are known to share the domain which the first possible run had when it was sent, or to its very executor unless that has restarted since. The policy no longer looks the first executor up in the table.

The test that the first executor has no state gives way to stricter ones: unknown domains, restarted executors, an executor that comes back in another group.

--- a/crates/consul/tests/responses.rs
+++ b/crates/consul/tests/responses.rs
@@ -50,6 +50,12 @@
             (Some("m1"), Some(3), Incarnation::RegisteredAt(12))
         );
     }
+    for cell in [json!("left"), json!(""), json!("-1"), json!("4294967296")] {
+        let mut other = entry("a", json!([]));
+        other["Service"]["Meta"]["cell"] = cell;
+        let instance = decode(&json!([other])).unwrap().remove(0);
+        assert_eq!(instance.deduplication_group, None, "a group that is no number is unknown");
+    }
     let mut node_address_only = entry("a", json!([]));
     node_address_only["Service"]["Address"] = json!("");
     node_address_only["Service"]["Weights"] = json!(null);
--- a/crates/daemon/src/protocol/endpoint_list.rs
+++ b/crates/daemon/src/protocol/endpoint_list.rs
@@ -7,6 +7,9 @@
 use troutknot::{DeduplicationGroupId, Endpoint, EndpointState, ExecutorId, MachineTypeId, Millis, ZoneId};
 use troutknot_membership::token;
 
+/// Id of the machine types that the settings do not list; no class requires it.
+const UNLISTED_MACHINE_TYPE: u32 = u32::MAX;
+
 /// A version of the endpoint list.
 #[derive(Deserialize, Clone, Debug)]
 pub struct EndpointList {
@@ -33,12 +36,12 @@
     /// Address and port; may be empty if the executor is gone.
     #[serde(default, rename = "addr")]
     pub address: CompactString,
-    /// Name of its zone.
+    /// Name of its zone; unknown if it is missing.
     pub zone: Option<CompactString>,
     /// Name of its type of machine.
     #[serde(rename = "kind")]
     pub machine_type: Option<CompactString>,
-    /// Executors of one group recognize repeated idempotency keys of each other.
+    /// Executors of one group recognize repeated idempotency keys of each other; unknown if it is missing.
     #[serde(rename = "cell")]
     pub deduplication_group: Option<u32>,
     /// One of [`endpoint_state`]; other states count as draining.
@@ -102,18 +105,24 @@
         Endpoint {
             executor,
             token: token(&entry.id),
-            zone: ZoneId(id_of(entry.zone.as_deref(), &self.zone_names)),
-            machine_type: MachineTypeId(id_of(entry.machine_type.as_deref(), &self.machine_type_names)),
-            deduplication_group: DeduplicationGroupId(entry.deduplication_group.unwrap_or(0)),
+            zone: entry.zone.as_deref().and_then(|zone| id_of(zone, &self.zone_names)).map(ZoneId),
+            machine_type: MachineTypeId(self.machine_type_of(entry)),
+            deduplication_group: entry.deduplication_group.map(DeduplicationGroupId),
             state: entry.endpoint_state(),
             weight: entry.weight.unwrap_or(1.0),
             started_at: entry.started_at.filter(|&started_at| started_at > 0.0),
         }
     }
+
+    /// The id of an executor's machine type: the first one if the list names none, and [`UNLISTED_MACHINE_TYPE`] if the
+    /// settings do not list its name.
+    fn machine_type_of(&self, entry: &EndpointEntry) -> u32 {
+        let Some(name) = entry.machine_type.as_deref() else { return 0 };
+        id_of(name, &self.machine_type_names).unwrap_or(UNLISTED_MACHINE_TYPE)
+    }
 }
 
-/// The id of a name: the first id if no name is given, and one that no name has if the settings do not list it.
-fn id_of(name: Option<&str>, names: &[String]) -> u32 {
-    let Some(name) = name else { return 0 };
-    names.iter().position(|candidate| candidate == name).map_or(u32::MAX, |id| id as u32)
+/// The id of a name; `None` if the settings do not list it.
+fn id_of(name: &str, names: &[String]) -> Option<u32> {
+    names.iter().position(|candidate| candidate == name).map(|id| id as u32)
 }
--- a/crates/scale/src/hollow_nodes/resolved_settings.rs
+++ b/crates/scale/src/hollow_nodes/resolved_settings.rs
@@ -28,16 +28,17 @@
 
     /// Converts a list entry to an endpoint of the decision module.
     pub fn endpoint(&self, entry: &EndpointEntry, executor: ExecutorId) -> Endpoint {
-        let index_of = |name: &Option<String>, names: &[String]| {
-            let position = |name: &String| names.iter().position(|other| other == name);
-            name.as_ref().map_or(0, |name| position(name).map_or(u32::MAX, |index| index as u32))
+        let index_of = |name: &String, names: &[String]| {
+            names.iter().position(|other| other == name).map(|index| index as u32)
         };
+        let zone = entry.zone.as_ref().and_then(|name| index_of(name, &self.zones));
+        let machine_type = |name| index_of(name, &self.machine_types).unwrap_or(u32::MAX);
         Endpoint {
             executor,
             token: token(&entry.id),
-            zone: ZoneId(index_of(&entry.zone, &self.zones)),
-            machine_type: MachineTypeId(index_of(&entry.machine_type, &self.machine_types)),
-            deduplication_group: DeduplicationGroupId(entry.deduplication_group.unwrap_or(0)),
+            zone: zone.map(ZoneId),
+            machine_type: MachineTypeId(entry.machine_type.as_ref().map_or(0, machine_type)),
+            deduplication_group: entry.deduplication_group.map(DeduplicationGroupId),
             state: match entry.state.as_str() {
                 "Ready" => EndpointState::Ready,
                 "Gone" => EndpointState::Gone,
--- a/crates/simulation/src/world/discovery.rs
+++ b/crates/simulation/src/world/discovery.rs
@@ -28,9 +28,9 @@
         Endpoint {
             executor: self.nodes[node].executor_ids.id(executor),
             token: self.tokens[executor],
-            zone: ZoneId(0),
+            zone: Some(ZoneId(0)),
             machine_type: MachineTypeId(machine_type.map_or(u32::MAX, |index| index as u32)),
-            deduplication_group: DeduplicationGroupId(planned.group as u32),
+            deduplication_group: Some(DeduplicationGroupId(planned.group as u32)),
             state: match listed {
                 ListedState::Ready => EndpointState::Ready,
                 ListedState::Terminating => EndpointState::Draining,
--- a/crates/simulator-adapter/src/instance.rs
+++ b/crates/simulator-adapter/src/instance.rs
@@ -55,9 +55,9 @@
         Endpoint {
             executor: self.registry.register(&entry.executor),
             token: token(&entry.executor),
-            zone: ZoneId(entry.zone.unwrap_or(0)),
+            zone: entry.zone.map(ZoneId),
             machine_type: MachineTypeId(entry.machine_type.unwrap_or(0)),
-            deduplication_group: DeduplicationGroupId(entry.deduplication_group.unwrap_or(0)),
+            deduplication_group: entry.deduplication_group.map(DeduplicationGroupId),
             state: match entry.phase {
                 EntryPhase::Ready => EndpointState::Ready,
                 EntryPhase::Draining => EndpointState::Draining,
--- a/src/dispatcher/attempts.rs
+++ b/src/dispatcher/attempts.rs
@@ -1,5 +1,6 @@
 //! Starts and ends of attempts, and their effect on the state of executors and connections.
 use super::Dispatcher;
+use crate::endpoint::DeduplicationDomain;
 use crate::event::{GossipMessage, Outcome};
 use crate::ids::{AttemptId, ExecutorId, RequestClassId, RequestId};
 use crate::log_event::LogEvent;
@@ -152,7 +153,13 @@
             return;
         }
         let Some(request) = self.requests.get_mut(&request_id) else { return };
-        request.attempts.push(Attempt::new(executor, sent_at, f64::INFINITY));
+        let endpoint = &self.fleet.executors.state(executor).endpoint;
+        // A later incarnation need not run in the domain of the one that received the attempt.
+        let domain = match endpoint.has_started_after(sent_at) {
+            true => DeduplicationDomain::default(),
+            false => endpoint.deduplication_domain(),
+        };
+        request.attempts.push(Attempt::new(executor, domain, sent_at, f64::INFINITY));
         // The request was sampled for at its arrival, before its attempt was reported; that round does not count.
         request.sampling_rounds = 0;
         let slots = request.slots;
--- a/src/dispatcher/fleet.rs
+++ b/src/dispatcher/fleet.rs
@@ -52,9 +52,9 @@
         self.sibling_counted_until = if is_running { f64::INFINITY } else { self.slow_start.window_end(now) };
     }
 
-    /// Whether a dispatch to this executor crosses zones and has a price.
+    /// Whether a dispatch to this executor crosses zones and has a price. An unknown zone counts as another one.
     pub fn is_cross_zone(&self, executor: ExecutorId) -> bool {
-        self.local_zone.is_some_and(|zone| self.executors.state(executor).endpoint.zone != zone)
+        self.local_zone.is_some() && self.executors.state(executor).endpoint.zone != self.local_zone
     }
 
     /// Whether the rules allow a dispatch of a request to an executor now.
@@ -67,7 +67,7 @@
     ) -> bool {
         let endpoint = &self.executors.state(executor).endpoint;
         let target = RetryPolicy::decide(class, &request.attempts, now).target;
-        target.allows(class, endpoint, &self.executors)
+        target.allows(class, endpoint)
             && class.terms.machine_type.is_none_or(|needed| needed == endpoint.machine_type)
             && self.executors.is_ready(executor)
             && self.remaining_warm_up_budget(now, executor) >= warm_up_cost(class, request.slots)
--- a/src/dispatcher/reconcile.rs
+++ b/src/dispatcher/reconcile.rs
@@ -52,14 +52,15 @@
         attempt_deadline: Millis,
         actions: &mut Vec<Action>,
     ) {
-        let idle_time = now - self.fleet.executors.state(executor).last_used;
+        let state = self.fleet.executors.state(executor);
+        let (idle_time, domain) = (now - state.last_used, state.endpoint.deduplication_domain());
         if self.connection_reuse.must_close_idle(idle_time, now) {
             actions.push(Action::CloseIdleConnections { executor });
         }
         let Some(request) = self.requests.get_mut(&request_id) else { return };
         let class = &self.classes[request.class];
         let send_deadline = RetryPolicy::send_deadline(class, &request.attempts, attempt_deadline);
-        request.attempts.push(Attempt::new(executor, now, idle_time));
+        request.attempts.push(Attempt::new(executor, domain, now, idle_time));
         actions.push(Action::Dispatch { request_id, executor, attempt_deadline, send_deadline });
     }
 
--- a/src/endpoint.rs
+++ b/src/endpoint.rs
@@ -20,12 +20,12 @@
     pub executor: ExecutorId,
     /// Number that identifies the executor and is the same at every node.
     pub token: u64,
-    /// Zone in which it runs.
-    pub zone: ZoneId,
+    /// Zone in which it runs; `None` if it is not known.
+    pub zone: Option<ZoneId>,
     /// Type of the machine on which it runs.
     pub machine_type: MachineTypeId,
-    /// Group of executors that share their records of deduplicated requests.
-    pub deduplication_group: DeduplicationGroupId,
+    /// Group of executors that share their records of deduplicated requests; `None` if it is not known.
+    pub deduplication_group: Option<DeduplicationGroupId>,
     /// Whether it accepts new requests.
     pub state: EndpointState,
     /// Weight in the list; [`crate::settings::WeightSource`] defines its meaning.
@@ -34,6 +34,28 @@
     pub started_at: Option<Millis>,
 }
 
+impl Endpoint {
+    /// Where its records of deduplicated requests are shared.
+    pub fn deduplication_domain(&self) -> DeduplicationDomain {
+        DeduplicationDomain { zone: self.zone, group: self.deduplication_group }
+    }
+
+    /// Whether its current incarnation is known to have started after `at`, a Unix time in milliseconds.
+    pub fn has_started_after(&self, at: Millis) -> bool {
+        self.started_at.is_some_and(|started_at| started_at > at)
+    }
+}
+
+/// The executors with which one shares its records of deduplicated requests. A value that is not known equals no other,
+/// not even another unknown one.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct DeduplicationDomain {
+    /// The zone, for classes whose repeats are recognized within a zone.
+    pub zone: Option<ZoneId>,
+    /// The group, for classes whose repeats are recognized within a group.
+    pub group: Option<DeduplicationGroupId>,
+}
+
 /// The content of an update of the endpoint list.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub enum ListUpdate {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -35,7 +35,7 @@
 
 pub use action::Action;
 pub use dispatcher::Dispatcher;
-pub use endpoint::{Endpoint, EndpointState, ListUpdate, LoadReport};
+pub use endpoint::{DeduplicationDomain, Endpoint, EndpointState, ListUpdate, LoadReport};
 pub use event::{Event, GossipMessage, Outcome, ProbeReply};
 pub use ids::{
     AttemptId, DeduplicationGroupId, ExecutorId, MachineTypeId, RequestClassId, RequestId, TenantId, ZoneId,
--- a/src/policy/retry.rs
+++ b/src/policy/retry.rs
@@ -1,9 +1,8 @@
 //! Retries: where and until when a request may be dispatched again, depending on the effect of running it twice.
-use crate::endpoint::Endpoint;
+use crate::endpoint::{DeduplicationDomain, Endpoint};
 use crate::event::Outcome;
 use crate::ids::ExecutorId;
 use crate::settings::{DeduplicationScope, Effect};
-use crate::state::executor_table::ExecutorTable;
 use crate::state::request::Attempt;
 use crate::state::request_class::RequestClass;
 use crate::time::Millis;
@@ -13,24 +12,42 @@
 const USABLE_WINDOW_SHARE: f64 = 0.8;
 
 /// Where a request may be dispatched next.
-#[derive(Clone, Copy, PartialEq, Debug)]
+#[derive(Clone, Copy, Debug)]
 pub(crate) enum RetryTarget {
     Anywhere,
-    /// Only to executors that recognize a repeat of a request that this executor may have run.
-    SameDeduplicationDomain(ExecutorId),
+    /// Only to executors that recognize a repeat of a request that this attempt may have run.
+    SameDeduplicationDomain(AttemptOrigin),
     Nowhere,
 }
 
+/// Where and when an attempt was sent that may have run.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct AttemptOrigin {
+    executor: ExecutorId,
+    domain: DeduplicationDomain,
+    sent_at: Millis,
+}
+
+impl AttemptOrigin {
+    fn of(attempt: &Attempt) -> Self {
+        AttemptOrigin { executor: attempt.executor, domain: attempt.domain, sent_at: attempt.sent_at }
+    }
+
+    /// Whether this executor recognizes a repeat of the attempt: it received the attempt itself, or is known to share
+    /// the records of the one that did.
+    fn is_recognized_by(&self, class: &RequestClass, endpoint: &Endpoint) -> bool {
+        let is_receiver = endpoint.executor == self.executor && !endpoint.has_started_after(self.sent_at);
+        is_receiver || class.is_same_deduplication_domain(endpoint.deduplication_domain(), self.domain)
+    }
+}
+
 impl RetryTarget {
     /// Whether a request of this class may be dispatched to this executor.
-    pub fn allows(self, class: &RequestClass, endpoint: &Endpoint, executors: &ExecutorTable) -> bool {
+    pub fn allows(&self, class: &RequestClass, endpoint: &Endpoint) -> bool {
         match self {
             RetryTarget::Anywhere => true,
             RetryTarget::Nowhere => false,
-            RetryTarget::SameDeduplicationDomain(first) => {
-                let first = executors.get(first).map(|state| &state.endpoint);
-                first.is_some_and(|first| class.is_same_deduplication_domain(endpoint, first))
-            }
+            RetryTarget::SameDeduplicationDomain(origin) => origin.is_recognized_by(class, endpoint),
         }
     }
 }
@@ -70,7 +87,7 @@
                 let target = match is_window_over {
                     true => RetryTarget::Nowhere,
                     false if is_recognized_everywhere => RetryTarget::Anywhere,
-                    false => RetryTarget::SameDeduplicationDomain(first.executor),
+                    false => RetryTarget::SameDeduplicationDomain(AttemptOrigin::of(first)),
                 };
                 let unserved_answer =
                     if is_recognized_everywhere { UnservedAnswer::Rejected } else { UnservedAnswer::Failed };
@@ -82,7 +99,7 @@
     /// Whether the rules allow another attempt of a request at any executor.
     pub fn allows_dispatch(class: &RequestClass, attempts: &[Attempt], now: Millis) -> bool {
         !Self::is_exhausted(class, attempts)
-            && Self::decide(class, attempts, now).target != RetryTarget::Nowhere
+            && !matches!(Self::decide(class, attempts, now).target, RetryTarget::Nowhere)
     }
 
     /// Whether a request has used up the attempts that its class allows.
--- a/src/state/executor_table.rs
+++ b/src/state/executor_table.rs
@@ -4,7 +4,7 @@
 //! needs the state any more. A handle without state reads as an executor that is gone and has no history, so an
 //! outdated handle is harmless.
 use crate::endpoint::{Endpoint, EndpointState, ListUpdate};
-use crate::ids::{DeduplicationGroupId, ExecutorId, MachineTypeId, ZoneId};
+use crate::ids::{ExecutorId, MachineTypeId};
 use crate::settings::Settings;
 use crate::state::executor_state::ExecutorState;
 use crate::state::machine_types::MachineTypes;
@@ -60,9 +60,9 @@
         let absent = Endpoint {
             executor: ExecutorId::default(),
             token: 0,
-            zone: ZoneId(u32::MAX),
+            zone: None,
             machine_type: MachineTypeId(u32::MAX),
-            deduplication_group: DeduplicationGroupId(u32::MAX),
+            deduplication_group: None,
             state: EndpointState::Gone,
             weight: 0.0,
             started_at: None,
@@ -92,11 +92,6 @@
         self.states.len()
     }
 
-    /// The state of an executor, if it has any.
-    pub fn get(&self, executor: ExecutorId) -> Option<&ExecutorState> {
-        self.states.get(executor)
-    }
-
     /// The state of an executor; if it has none, that of an executor that is gone and has no history.
     pub fn state(&self, executor: ExecutorId) -> &ExecutorState {
         self.states.get(executor).unwrap_or(&self.absent)
--- a/src/state/request.rs
+++ b/src/state/request.rs
@@ -1,5 +1,5 @@
 //! Open requests, with their attempts and their desired state.
-use crate::endpoint::LoadReport;
+use crate::endpoint::{DeduplicationDomain, LoadReport};
 use crate::event::Outcome;
 use crate::ids::{AttemptId, ExecutorId, RequestClassId};
 use crate::time::Millis;
@@ -8,6 +8,8 @@
 #[derive(Clone, Copy)]
 pub(crate) struct Attempt {
     pub executor: ExecutorId,
+    /// The executor's domain when the attempt was sent; the endpoint list may state another one by now.
+    pub domain: DeduplicationDomain,
     pub sent_at: Millis,
     /// Time for which the connections to the executor had been idle. Infinite if unknown, so that the end of the
     /// attempt is not attributed to a broken idle connection.
@@ -18,8 +20,13 @@
 }
 
 impl Attempt {
-    pub fn new(executor: ExecutorId, sent_at: Millis, idle_time: Millis) -> Self {
-        Attempt { executor, sent_at, idle_time, started_at: None, outcome: None }
+    pub fn new(
+        executor: ExecutorId,
+        domain: DeduplicationDomain,
+        sent_at: Millis,
+        idle_time: Millis,
+    ) -> Self {
+        Attempt { executor, domain, sent_at, idle_time, started_at: None, outcome: None }
     }
 
     pub fn is_in_flight(&self) -> bool {
--- a/src/state/request_class.rs
+++ b/src/state/request_class.rs
@@ -1,5 +1,5 @@
 //! Request classes: their terms, and the observed running times of their requests.
-use crate::endpoint::Endpoint;
+use crate::endpoint::DeduplicationDomain;
 use crate::ids::RequestClassId;
 use crate::settings::{ClassSettings, DeduplicationScope, Settings};
 use crate::time::Millis;
@@ -44,12 +44,12 @@
         self.latency_objective + (self.terms.stretch - 1.0).max(0.0) * mean
     }
 
-    /// Whether both executors recognize each other's repeats of deduplicated requests.
-    pub fn is_same_deduplication_domain(&self, one: &Endpoint, other: &Endpoint) -> bool {
+    /// Whether executors of both domains are known to recognize each other's repeats of deduplicated requests.
+    pub fn is_same_deduplication_domain(&self, one: DeduplicationDomain, other: DeduplicationDomain) -> bool {
         match self.terms.deduplication_scope {
-            DeduplicationScope::Zone => one.zone == other.zone,
+            DeduplicationScope::Zone => one.zone.is_some() && one.zone == other.zone,
             // With the scope `All` a retry may be dispatched anywhere, and this function is not called.
-            _ => one.deduplication_group == other.deduplication_group,
+            _ => one.group.is_some() && one.group == other.group,
         }
     }
 }
--- a/tests/helpers/mod.rs
+++ b/tests/helpers/mod.rs
@@ -98,9 +98,9 @@
     Endpoint {
         executor: executor(number),
         token: u64::from(number).wrapping_mul(0x9e3779b97f4a7c15),
-        zone: ZoneId(0),
+        zone: Some(ZoneId(0)),
         machine_type: MachineTypeId(0),
-        deduplication_group: DeduplicationGroupId(group),
+        deduplication_group: Some(DeduplicationGroupId(group)),
         state,
         weight: 1.0,
         started_at,
--- a/tests/sampling.rs
+++ b/tests/sampling.rs
@@ -164,7 +164,7 @@
         settings.zone = Some(0.0);
         let mut node = node_with(settings);
         let in_zone = |number: u32| Endpoint {
-            zone: ZoneId(number % 2),
+            zone: Some(ZoneId(number % 2)),
             ..endpoint(number, number, EndpointState::Ready, None)
         };
         node.update_endpoints(ListUpdate::Snapshot, &(0..40).map(in_zone).collect::<Vec<_>>());
--- a/tests/unit/random_events.rs
+++ b/tests/unit/random_events.rs
@@ -302,9 +302,9 @@
             endpoints.push(Endpoint {
                 executor,
                 token: *name,
-                zone: ZoneId(0),
+                zone: Some(ZoneId(0)),
                 machine_type: MachineTypeId(0),
-                deduplication_group: DeduplicationGroupId(named.group),
+                deduplication_group: Some(DeduplicationGroupId(named.group)),
                 state: named.state,
                 weight: 1.0,
                 started_at: named.started_at,
--- a/tests/unit/retry.rs
+++ b/tests/unit/retry.rs
@@ -1,18 +1,34 @@
 //! Retries: where, how often and until when, depending on effect, scope and window.
 use super::*;
-use crate::endpoint::ListUpdate;
 use crate::ids::{DeduplicationGroupId, ZoneId};
 use crate::policy::rule_inputs::*;
-use RetryTarget::{Anywhere, Nowhere, SameDeduplicationDomain};
+use Target::{Anywhere, Nowhere, SameDeduplicationDomain};
 use UnservedAnswer::{Failed, Rejected};
 
 /// 0.8 of the deduplication window.
 const RETRY_WINDOW: Millis = 1600.0;
 
-fn decide(class: &RequestClass, outcomes: &[Option<Outcome>], now: Millis) -> (RetryTarget, UnservedAnswer) {
+/// A [`RetryTarget`] that can be compared.
+#[derive(PartialEq, Debug)]
+enum Target {
+    Anywhere,
+    SameDeduplicationDomain(ExecutorId),
+    Nowhere,
+}
+
+fn decide(class: &RequestClass, outcomes: &[Option<Outcome>], now: Millis) -> (Target, UnservedAnswer) {
     let attempts: Vec<Attempt> = outcomes.iter().map(|&outcome| attempt(7, 0.0, outcome)).collect();
     let policy = RetryPolicy::decide(class, &attempts, now);
-    (policy.target, policy.unserved_answer)
+    let target = match policy.target {
+        RetryTarget::Anywhere => Anywhere,
+        RetryTarget::SameDeduplicationDomain(origin) => SameDeduplicationDomain(origin.executor),
+        RetryTarget::Nowhere => Nowhere,
+    };
+    (target, policy.unserved_answer)
+}
+
+fn same_domain_as(attempt: &Attempt) -> RetryTarget {
+    RetryTarget::SameDeduplicationDomain(AttemptOrigin::of(attempt))
 }
 
 /// Guards against a final failure of a request that can safely be sent again.
@@ -95,23 +111,56 @@
 #[test]
 fn a_deduplication_domain_is_a_group_or_a_zone() {
     let first = endpoint(7);
-    let mut executors = ExecutorTable::new();
-    executors.update(0.0, ListUpdate::Snapshot, &[first]);
     let same_group = Endpoint { deduplication_group: first.deduplication_group, ..endpoint(1) };
     let same_zone = Endpoint { zone: first.zone, ..endpoint(2) };
-    let neither = Endpoint { zone: ZoneId(8), deduplication_group: DeduplicationGroupId(8), ..endpoint(3) };
+    let neither =
+        Endpoint { zone: Some(ZoneId(8)), deduplication_group: Some(DeduplicationGroupId(8)), ..endpoint(3) };
     let mut class = class(Effect::Deduplicated);
     for (scope, in_domain) in [(DeduplicationScope::Group, same_group), (DeduplicationScope::Zone, same_zone)]
     {
         class.terms.deduplication_scope = scope;
         for other in [same_group, same_zone, neither] {
-            let target = SameDeduplicationDomain(executor(7));
+            let target = same_domain_as(&attempt(7, 0.0, None));
             let is_in_domain = other.executor == in_domain.executor;
-            assert_eq!(target.allows(&class, &other, &executors), is_in_domain, "{scope:?} {other:?}");
-            assert!(Anywhere.allows(&class, &other, &executors));
-            assert!(!Nowhere.allows(&class, &other, &executors));
+            assert_eq!(target.allows(&class, &other), is_in_domain, "{scope:?} {other:?}");
+            assert!(RetryTarget::Anywhere.allows(&class, &other));
+            assert!(!RetryTarget::Nowhere.allows(&class, &other));
         }
     }
-    let released = SameDeduplicationDomain(executor(9));
-    assert!(!released.allows(&class, &same_zone, &executors), "the first executor has no state");
+}
+
+/// Guards against a repeat at an executor that does not recognize it: an unknown zone or group was taken for the first
+/// one, and two unknown ones for the same.
+#[test]
+fn an_unknown_deduplication_domain_allows_a_retry_at_the_same_executor_alone() {
+    let unknown = |number| Endpoint { zone: None, deduplication_group: None, ..endpoint(number) };
+    let sent = Attempt { domain: DeduplicationDomain::default(), ..attempt(7, 100.0, Some(Outcome::Reset)) };
+    let mut class = class(Effect::Deduplicated);
+    for scope in [DeduplicationScope::Group, DeduplicationScope::Zone] {
+        class.terms.deduplication_scope = scope;
+        for other in [endpoint(0), unknown(1)] {
+            assert!(!same_domain_as(&sent).allows(&class, &other), "{scope:?} {other:?}");
+        }
+        assert!(!same_domain_as(&attempt(0, 100.0, None)).allows(&class, &unknown(1)), "{scope:?}");
+        for receiver in [endpoint(7), unknown(7)] {
+            assert!(same_domain_as(&sent).allows(&class, &receiver), "{scope:?} {receiver:?}");
+            let restarted = Endpoint { started_at: Some(100.1), ..receiver };
+            assert!(!same_domain_as(&sent).allows(&class, &restarted), "{scope:?}: its records may be lost");
+        }
+    }
+}
+
+/// Guards against a repeat in a group that its first executor has joined only since.
+#[test]
+fn a_retry_stays_in_the_domain_that_its_executor_had_when_the_attempt_was_sent() {
+    let class = class(Effect::Deduplicated);
+    let target = same_domain_as(&attempt(7, 100.0, None));
+    let in_group = |number, group| Endpoint {
+        deduplication_group: Some(DeduplicationGroupId(group)),
+        started_at: Some(200.0),
+        ..endpoint(number)
+    };
+    assert!(target.allows(&class, &in_group(1, 7)));
+    assert!(!target.allows(&class, &in_group(7, 8)), "the same name, restarted in another group");
+    assert!(!target.allows(&class, &in_group(1, 8)));
 }
--- a/tests/unit/rule_inputs.rs
+++ b/tests/unit/rule_inputs.rs
@@ -30,9 +30,9 @@
     Endpoint {
         executor: executor(number),
         token: u64::from(number),
-        zone: ZoneId(number),
+        zone: Some(ZoneId(number)),
         machine_type: MachineTypeId(0),
-        deduplication_group: DeduplicationGroupId(number),
+        deduplication_group: Some(DeduplicationGroupId(number)),
         state: EndpointState::Ready,
         weight: 1.0,
         started_at: None,
@@ -64,7 +64,10 @@
 }
 
 pub(crate) fn attempt(number: u32, sent_at: Millis, outcome: Option<Outcome>) -> Attempt {
-    Attempt { outcome, ..Attempt::new(executor(number), sent_at, 0.0) }
+    Attempt {
+        outcome,
+        ..Attempt::new(executor(number), endpoint(number).deduplication_domain(), sent_at, 0.0)
+    }
 }
 
 /// Returns settings with a slow start from a quarter of the capacity over 10 s and a budget window of 1 s.
