No durable request is rejected before its record was looked up, whoever has the ledger

Cause: an answer before the record is asked. The new process has no ledger while the old one has it open, and rejected without a look-up. The same in three more places: the drained node, `admit` (capacity before recent ids), and a request that is recovered after the last event of a shutdown, whose attempts on record were not counted.

Change: the process without the ledger asks the other one (messages `look-up` and `found`, at most 8 under way, none above a line's bound). A recorded answer is passed on; an open request waits; a new one is rejected as before. Without an answer (an earlier release, a stall, nobody has the ledger) the client waits for the ledger and gets 502 at its deadline, in place of a 503 that nobody has checked. Bytes are reserved meanwhile. The drained node and `admit` detect duplicates first; recovery during a shutdown answers by the attempts.

--- a/crates/daemon/src/downstream/admission.rs
+++ b/crates/daemon/src/downstream/admission.rs
@@ -1,6 +1,7 @@
 //! Admits requests: detects duplicates, reserves memory and sets deadlines.
 use super::DownstreamServer;
 use crate::in_flight::{ClientRequest, InFlightRequest};
+use crate::lifecycle::LifecycleState;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -33,13 +34,16 @@
     Duplicate,
     #[error("the node has no capacity for the request")]
     NoCapacity,
+    #[error("an operator drained the node")]
+    Drained,
 }
 
 impl DownstreamServer {
     /// Admits a request whose client waits for `time_left` from now on.
     ///
     /// # Errors
-    /// If the request is a duplicate, or if its connection or its bytes exceed the node's limits.
+    /// If the request is a duplicate, if the node is drained, or if the request's connection or bytes exceed the
+    /// node's limits. Duplicates are detected first: a rejection says that the request did not run.
     pub(super) fn admit(
         &self,
         request: ClientRequest,
@@ -52,19 +56,20 @@
         let deadline = admitted_at + (time_left - margin);
         let last_answer_at = admitted_at + self.last_answer_wait(time_left);
         let client_id = request.id.clone();
-        if self.request_ids.is_open(&client_id) {
+        let token = troutknot_membership::token(&client_id);
+        if self.request_ids.is_open(&client_id) || self.request_ids.is_recent(token, &self.limits) {
             return Err(AdmissionError::Duplicate);
         }
+        if *self.lifecycle.borrow() == LifecycleState::Drained {
+            return Err(AdmissionError::Drained);
+        }
         if admission == ConnectionAdmission::OverLimit {
             return Err(AdmissionError::NoCapacity);
         }
         let request_id = self.request_ids.next_id();
         let in_flight = InFlightRequest::new(request_id, request, deadline, &self.request_bytes)
             .ok_or(AdmissionError::NoCapacity)?;
-        let token = troutknot_membership::token(&client_id);
-        if !self.request_ids.record_token(token, &self.limits) {
-            return Err(AdmissionError::Duplicate);
-        }
+        self.request_ids.record_token(token, &self.limits);
         self.sibling.announce_request(token);
         self.request_ids.open(client_id);
         Ok(AdmittedRequest { in_flight, last_answer_at })
--- a/crates/daemon/src/downstream/durable_exchange.rs
+++ b/crates/daemon/src/downstream/durable_exchange.rs
@@ -2,9 +2,11 @@
 //! for the same answer.
 use super::DownstreamServer;
 use super::admission::{AdmissionError, ConnectionAdmission};
+use super::record_lookup::ResolvedJob;
 use super::request::Submission;
-use crate::durable::{Acceptance, Durable, LookupResult, PendingAnswer};
+use crate::durable::{self, Acceptance, Durable, LookupResult, PendingAnswer};
 use crate::event::NodeEvent;
+use crate::hot_restart::job_record::JobIdentity;
 use crate::http1::Connection;
 use crate::in_flight::{Answer, ClientRequest};
 use crate::units::to_millis;
@@ -48,8 +50,34 @@
 impl DurableAnswer {
     /// The answer while no request can be recorded.
     fn retry_later() -> Self {
-        DurableAnswer { answer: Answer::Rejected(Some(to_millis(LEDGER_RETRY_AFTER))), acknowledges: None }
+        DurableAnswer::unacknowledged(Answer::Rejected(Some(to_millis(LEDGER_RETRY_AFTER))))
     }
+
+    /// The answer to a request of which it is not known whether it is on record.
+    fn unresolved() -> Self {
+        DurableAnswer::unacknowledged(Answer::Failed)
+    }
+
+    fn unacknowledged(answer: Answer) -> Self {
+        DurableAnswer { answer, acknowledges: None }
+    }
+
+    /// The answer that follows from what the other process of the node has on record.
+    fn of_record(job: ResolvedJob) -> Result<Self, DurableExchangeError> {
+        match job {
+            ResolvedJob::New => Ok(DurableAnswer::retry_later()),
+            ResolvedJob::Answered(answer) => Ok(DurableAnswer::unacknowledged(answer)),
+            ResolvedJob::KeyMismatch => Err(DurableExchangeError::KeyMismatch),
+            ResolvedJob::DuplicateId => Err(DurableExchangeError::Duplicate),
+        }
+    }
+}
+
+/// How a request was handled that arrived before this process had the ledger open.
+enum Resolution {
+    /// This process has opened the ledger, and handles the request itself.
+    LedgerOpened(Rc<Durable>),
+    Answered(DurableAnswer),
 }
 
 /// A job whose answer a client waits for.
@@ -80,10 +108,16 @@
     ///
     /// # Errors
     /// If the request contradicts what is on record, or if the client disconnects.
-    pub async fn run(&mut self, submission: Submission) -> Result<DurableAnswer, DurableExchangeError> {
-        // During a hot restart the old process may still have the ledger open.
-        let Some(ledger) = self.server.ledger() else { return Ok(DurableAnswer::retry_later()) };
-        let pending = match ledger.look_up(&submission.request) {
+    pub async fn run(&mut self, mut submission: Submission) -> Result<DurableAnswer, DurableExchangeError> {
+        let identity = durable::identity_of(&submission.request);
+        let ledger = match self.server.ledger() {
+            Some(ledger) => ledger,
+            None => match self.resolve_without_ledger(&mut submission, &identity).await? {
+                Resolution::LedgerOpened(ledger) => ledger,
+                Resolution::Answered(answer) => return Ok(answer),
+            },
+        };
+        let pending = match ledger.look_up(&identity) {
             LookupResult::KeyMismatch => return Err(DurableExchangeError::KeyMismatch),
             LookupResult::DuplicateId => return Err(DurableExchangeError::Duplicate),
             LookupResult::Answered(request_id) => {
@@ -103,6 +137,32 @@
         self.wait_for_job(pending).await
     }
 
+    /// Handles a request while another process of the node has the ledger open. Nothing is answered before that process
+    /// has looked the request up: a client that gets 503 for one that has run sends it again as a new one.
+    async fn resolve_without_ledger(
+        &mut self,
+        submission: &mut Submission,
+        identity: &JobIdentity,
+    ) -> Result<Resolution, DurableExchangeError> {
+        let (server, started_at) = (self.server, Instant::now());
+        let request = &submission.request;
+        let Some(_reservation) = server.request_bytes.reserve(request.fields.len() + request.body.len())
+        else {
+            return Ok(Resolution::Answered(DurableAnswer::unresolved()));
+        };
+        let resolution = tokio::select! {
+            biased;
+            ledger = server.ledger_opened() => Resolution::LedgerOpened(ledger),
+            job = server.resolve_at_sibling(identity) => Resolution::Answered(DurableAnswer::of_record(job)?),
+            () = self.connection.closed_by_peer() => return Err(DurableExchangeError::Disconnected),
+            () = sleep_until(started_at + server.last_answer_wait(submission.time_left)) => {
+                Resolution::Answered(DurableAnswer::unresolved())
+            }
+        };
+        submission.time_left = submission.time_left.saturating_sub(started_at.elapsed());
+        Ok(resolution)
+    }
+
     /// Records a new request and hands it to the driver.
     async fn start_job(
         &self,
@@ -116,7 +176,7 @@
         let admitted = match self.server.admit(request, time_left, self.admission) {
             Ok(admitted) => admitted,
             Err(AdmissionError::Duplicate) => return Err(DurableExchangeError::Duplicate),
-            Err(AdmissionError::NoCapacity) => {
+            Err(AdmissionError::NoCapacity | AdmissionError::Drained) => {
                 return Ok(JobStart::NotRecorded(DurableAnswer::retry_later()));
             }
         };
@@ -134,9 +194,7 @@
             Acceptance::Withdrawn(pending_answer) => {
                 Ok(JobStart::Pending(PendingJob { pending_answer, acknowledges: None, last_answer_at }))
             }
-            Acceptance::Rejected(answer) => {
-                Ok(JobStart::NotRecorded(DurableAnswer { answer, acknowledges: None }))
-            }
+            Acceptance::Rejected(answer) => Ok(JobStart::NotRecorded(DurableAnswer::unacknowledged(answer))),
         }
     }
 
@@ -159,9 +217,4 @@
         let effect = self.codec.load().effect(request.class);
         request.key.is_some() || effect.is_some_and(|effect| config.includes(effect))
     }
-
-    /// The ledger, once this process has it open.
-    pub(super) fn ledger(&self) -> Option<Rc<Durable>> {
-        self.ledger.borrow().clone()
-    }
 }
--- a/crates/daemon/src/downstream/exchange.rs
+++ b/crates/daemon/src/downstream/exchange.rs
@@ -12,6 +12,7 @@
 use crate::units::to_millis;
 use std::fmt::Display;
 use std::rc::Rc;
+use std::time::Duration;
 use tokio::time::{sleep_until, timeout_at};
 
 /// How the handling of one request ended.
@@ -103,13 +104,6 @@
 
     /// Handles a request for the executors.
     async fn handle_submission(&mut self, submission: Submission) -> ExchangeEnd {
-        if *self.server.lifecycle.borrow() == LifecycleState::Drained {
-            let retry_after = self.server.limits.downstream.malformed_retry_after;
-            let answer = Answer::Rejected(Some(to_millis(retry_after)));
-            let response = Response::answer(&self.server.codec.load(), &answer);
-            let sent = self.send(&response, ConnectionReuse::Close).await;
-            return ExchangeEnd::after(&sent, ConnectionReuse::Close, ResponseSize::Small);
-        }
         if self.server.is_durable(&submission.request) {
             self.handle_durable(submission).await
         } else {
@@ -123,9 +117,10 @@
             Ok(admitted) => admitted,
             Err(error @ AdmissionError::Duplicate) => return self.reject(409, &error).await,
             Err(AdmissionError::NoCapacity) => {
-                let retry_after = self.server.limits.downstream.rejected_retry_after;
-                let answer = Answer::Rejected(Some(to_millis(retry_after)));
-                return self.send_answer(&answer, ConnectionReuse::Close).await.end;
+                return self.reject_for(self.server.limits.downstream.rejected_retry_after).await;
+            }
+            Err(AdmissionError::Drained) => {
+                return self.reject_for(self.server.limits.downstream.malformed_retry_after).await;
             }
         };
         self.entry.set_state(ConnectionState::Busy);
@@ -136,6 +131,12 @@
         self.send_answer(&answer, reuse).await.end
     }
 
+    /// Rejects a request that was not admitted, and closes the connection.
+    async fn reject_for(&mut self, retry_after: Duration) -> ExchangeEnd {
+        let answer = Answer::Rejected(Some(to_millis(retry_after)));
+        self.send_answer(&answer, ConnectionReuse::Close).await.end
+    }
+
     /// Handles a request that is recorded in the ledger.
     async fn handle_durable(&mut self, submission: Submission) -> ExchangeEnd {
         self.entry.set_state(ConnectionState::Busy);
--- a/crates/daemon/src/downstream/mod.rs
+++ b/crates/daemon/src/downstream/mod.rs
@@ -6,6 +6,7 @@
 mod eviction;
 mod exchange;
 mod listener;
+mod record_lookup;
 mod request;
 mod request_ids;
 mod response;
@@ -56,7 +57,7 @@
     discovery_status: Rc<RefCell<String>>,
     durable_config: Option<DurableConfig>,
     /// `None` if the node has none, or as long as the old process of the node has it open.
-    ledger: RefCell<Option<Rc<Durable>>>,
+    ledger: watch::Sender<Option<Rc<Durable>>>,
     sibling: Rc<SiblingProcess>,
     tasks: TaskGroup,
     /// Memory for the contents of open requests.
@@ -90,7 +91,7 @@
             buffer_bytes: ByteBudget::new(limits.downstream.buffer_bytes),
             partial_body_bytes: ByteBudget::new(max_partial_body_bytes),
             first_list_due: Instant::now() + limits.downstream.first_list_timeout,
-            ledger: RefCell::default(),
+            ledger: watch::Sender::default(),
             request_ids: RequestIds::new(),
             connections: ClientConnections::default(),
             limits,
@@ -129,7 +130,7 @@
     /// Sets the ledger that durable requests are recorded in. New requests get higher numbers than those on record.
     pub fn set_ledger(&self, ledger: Rc<Durable>) {
         self.request_ids.skip_to(ledger.next_request_number());
-        self.ledger.replace(Some(ledger));
+        self.ledger.send_replace(Some(ledger));
     }
 
     /// Numbers requests from `first` on, so that a ledger that is opened later can have lower numbers.
--- a/crates/daemon/src/downstream/request_ids.rs
+++ b/crates/daemon/src/downstream/request_ids.rs
@@ -29,6 +29,13 @@
         self.recent.borrow_mut().insert(token, limits)
     }
 
+    /// Whether a request with this token was admitted within the deduplication window.
+    pub fn is_recent(&self, token: u64, limits: &Limits) -> bool {
+        let mut recent = self.recent.borrow_mut();
+        recent.drop_expired(limits);
+        recent.contains(token)
+    }
+
     /// Tokens that were recorded within the deduplication window.
     pub fn recent_tokens(&self) -> Vec<u64> {
         let recent = self.recent.borrow();
@@ -75,17 +82,30 @@
         RecentTokens { newer: HashSet::new(), older: HashSet::new(), rotated_at: Instant::now() }
     }
 
+    fn contains(&self, token: u64) -> bool {
+        self.older.contains(&token) || self.newer.contains(&token)
+    }
+
     /// Returns false if the token is present.
     fn insert(&mut self, token: u64, limits: &Limits) -> bool {
+        self.drop_expired(limits);
         // Each of the two generations may take half of the memory.
-        let max_tokens = limits.downstream.max_completed_ids / 2;
-        let is_expired = self.rotated_at.elapsed() >= limits.timeouts().max_deadline;
-        if is_expired || self.newer.len() >= max_tokens {
-            self.older = std::mem::take(&mut self.newer);
-            self.rotated_at = Instant::now();
+        if self.newer.len() >= limits.downstream.max_completed_ids / 2 {
+            self.rotate();
         }
         !self.older.contains(&token) && self.newer.insert(token)
     }
+
+    fn drop_expired(&mut self, limits: &Limits) {
+        if self.rotated_at.elapsed() >= limits.timeouts().max_deadline {
+            self.rotate();
+        }
+    }
+
+    fn rotate(&mut self) {
+        self.older = std::mem::take(&mut self.newer);
+        self.rotated_at = Instant::now();
+    }
 }
 
 #[cfg(test)]
--- a/crates/daemon/src/driver/events.rs
+++ b/crates/daemon/src/driver/events.rs
@@ -137,7 +137,7 @@
 
     /// The answer to a request that is open when the node shuts down: rejected if no attempt was made, so that the
     /// client may retry it, otherwise failed.
-    fn final_answer(&self, attempts: u32) -> Answer {
+    pub(super) fn final_answer(&self, attempts: u32) -> Answer {
         match attempts {
             0 => Answer::Rejected(Some(to_millis(self.executors.limits.downstream.rejected_retry_after))),
             _ => Answer::Failed,
--- a/crates/daemon/src/driver/recovery.rs
+++ b/crates/daemon/src/driver/recovery.rs
@@ -24,6 +24,10 @@
         in_flight: Rc<InFlightRequest>,
         attempts: Vec<RecoveredAttempt>,
     ) {
+        if self.is_shut_down {
+            in_flight.answer(self.final_answer(attempts.len() as u32));
+            return;
+        }
         self.handle_request(now, in_flight.clone());
         let Some(request) = self.requests.get_mut(&in_flight.request_id) else { return };
         request.attempts = attempts.len() as u32;
--- a/crates/daemon/src/durable/jobs.rs
+++ b/crates/daemon/src/durable/jobs.rs
@@ -2,7 +2,8 @@
 use super::payload::{self, StoredRequest};
 use super::{Durable, Lease, PendingAnswer};
 use crate::event::NodeEvent;
-use crate::in_flight::{Answer, ClientRequest, InFlightRequest};
+use crate::hot_restart::job_record::JobIdentity;
+use crate::in_flight::{Answer, InFlightRequest};
 use crate::units::to_millis;
 use std::rc::Rc;
 use std::time::Duration;
@@ -53,14 +54,14 @@
 
 impl Durable {
     /// Looks up a request by its idempotency key or, without one, by its id.
-    pub fn look_up(&self, request: &ClientRequest) -> LookupResult {
+    pub fn look_up(&self, identity: &JobIdentity) -> LookupResult {
         let ledger = self.ledger.borrow();
-        let Some(request_id) = request.key.as_ref().and_then(|key| ledger.find_by_key(key)) else {
-            let is_duplicate = ledger.find_by_client_id(&request.id).is_some();
+        let Some(request_id) = identity.key.as_ref().and_then(|key| ledger.find_by_key(key)) else {
+            let is_duplicate = ledger.find_by_client_id(&identity.client_id).is_some();
             return if is_duplicate { LookupResult::DuplicateId } else { LookupResult::New };
         };
         let Some(job) = ledger.job(request_id) else { return LookupResult::New };
-        if job.digest != payload::digest(request) {
+        if job.digest != identity.digest {
             return LookupResult::KeyMismatch;
         }
         match self.pending_answers.get(request_id) {
--- a/crates/daemon/src/durable/mod.rs
+++ b/crates/daemon/src/durable/mod.rs
@@ -13,6 +13,7 @@
 
 pub use jobs::{Acceptance, LookupResult};
 pub use lease::Lease;
+pub use payload::identity_of;
 pub use pending_answers::PendingAnswer;
 
 use crate::config::durable::{DurableConfig, LedgerSync};
--- a/crates/daemon/src/durable/payload.rs
+++ b/crates/daemon/src/durable/payload.rs
@@ -1,4 +1,5 @@
 //! Conversion of requests and answers to and from their form in the ledger.
+use crate::hot_restart::job_record::JobIdentity;
 use crate::in_flight::{Answer, ClientRequest};
 use crate::protocol::Codec;
 use bytes::Bytes;
@@ -78,6 +79,11 @@
     hash.finalize().into()
 }
 
+/// What identifies a request in the ledger.
+pub fn identity_of(request: &ClientRequest) -> JobIdentity {
+    JobIdentity { key: request.key.clone(), client_id: request.id.clone(), digest: digest(request) }
+}
+
 /// Converts an answer to its form in the ledger.
 pub(super) fn to_recorded(answer: &Answer) -> RecordedAnswer {
     match answer {
--- a/crates/daemon/src/hot_restart/codec.rs
+++ b/crates/daemon/src/hot_restart/codec.rs
@@ -3,6 +3,7 @@
 //! The first message of each process is [`Message::Hello`] with the protocol version. Unknown messages are ignored, so
 //! a later release may add messages within a version; an incompatible change requires a new version. The names on the
 //! wire are those of the first release that implemented the protocol.
+use super::job_record::{JobIdentity, JobRecord};
 use crate::protocol::EndpointEntry;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeSet;
@@ -121,6 +122,21 @@
     /// The sender's usage of the limits that both processes share.
     #[serde(rename = "holds")]
     Usage(Usage),
+    /// Asks what is on record of a durable request; answered by [`Message::Found`]. Earlier releases ignore it.
+    LookUp {
+        /// The number to repeat in the answer.
+        number: u64,
+        /// What identifies the request.
+        #[serde(rename = "job")]
+        identity: JobIdentity,
+    },
+    /// The answer to [`Message::LookUp`].
+    Found {
+        /// The number of the look-up.
+        number: u64,
+        /// What is on record.
+        job: JobRecord,
+    },
     /// A shutdown of the old process was requested.
     #[serde(rename = "leaving")]
     ShutdownRequested,
--- a/crates/daemon/src/hot_restart/mod.rs
+++ b/crates/daemon/src/hot_restart/mod.rs
@@ -9,5 +9,6 @@
 //! to the other process. It does not depend on the rest of the node; `takeover` implements the exchange on top of it.
 pub mod codec;
 pub mod inherited_socket;
+pub mod job_record;
 pub mod link;
 pub mod sibling;
--- a/crates/daemon/src/hot_restart/sibling.rs
+++ b/crates/daemon/src/hot_restart/sibling.rs
@@ -1,22 +1,53 @@
 //! The handle through which the parts of a node send messages to the sibling process.
 use super::codec::{Message, Usage};
+use super::job_record::{JobIdentity, JobRecord};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{Semaphore, mpsc, oneshot};
 
 /// Maximum number of messages that are queued for the sibling; when the queue is full, the sibling is disconnected.
 const QUEUE_CAPACITY: usize = 8192;
 
+/// Maximum number of look-ups that wait for their answer, each of which can be as long as a line.
+const MAX_LOOK_UPS: usize = 8;
+
 /// The other process of this node. If none runs, messages are dropped and the usage is zero.
-#[derive(Default)]
 pub struct SiblingProcess {
     outbox: RefCell<Option<mpsc::Sender<Message>>>,
     /// Callers that wait until the sibling acknowledges a message, by the number of the message.
     unacknowledged: RefCell<HashMap<u64, oneshot::Sender<bool>>>,
     last_number: Cell<u64>,
+    /// Look-ups without an answer, by the number of the message.
+    look_ups: RefCell<HashMap<u64, oneshot::Sender<JobRecord>>>,
+    look_up_permits: Semaphore,
     usage: Cell<Usage>,
 }
 
+impl Default for SiblingProcess {
+    fn default() -> Self {
+        SiblingProcess {
+            outbox: RefCell::default(),
+            unacknowledged: RefCell::default(),
+            last_number: Cell::default(),
+            look_ups: RefCell::default(),
+            look_up_permits: Semaphore::new(MAX_LOOK_UPS),
+            usage: Cell::default(),
+        }
+    }
+}
+
+/// Removes a look-up that is no longer waited for.
+struct PendingLookUp<'a> {
+    sibling: &'a SiblingProcess,
+    number: u64,
+}
+
+impl Drop for PendingLookUp<'_> {
+    fn drop(&mut self) {
+        self.sibling.look_ups.borrow_mut().remove(&self.number);
+    }
+}
+
 impl SiblingProcess {
     /// The sibling's last reported usage of the limits that both processes share.
     pub fn usage(&self) -> Usage {
@@ -48,12 +79,39 @@
             let _ = done.send(true);
             return;
         }
-        let number = self.last_number.get() + 1;
-        self.last_number.set(number);
+        let number = self.next_number();
         self.unacknowledged.borrow_mut().insert(number, done);
         self.send(message(number));
     }
 
+    fn next_number(&self) -> u64 {
+        let number = self.last_number.get() + 1;
+        self.last_number.set(number);
+        number
+    }
+
+    /// Asks the sibling what is on record of a durable request. Returns `None` if no sibling is connected. A sibling of
+    /// an earlier release never answers.
+    pub async fn look_up(&self, identity: JobIdentity) -> Option<JobRecord> {
+        let _permit = self.look_up_permits.acquire().await.ok()?;
+        if self.outbox.borrow().is_none() {
+            return None;
+        }
+        let number = self.next_number();
+        let _pending = PendingLookUp { sibling: self, number };
+        let (found, job) = oneshot::channel();
+        self.look_ups.borrow_mut().insert(number, found);
+        self.send(Message::LookUp { number, identity });
+        job.await.ok()
+    }
+
+    /// Completes the [`look_up`](Self::look_up) call with this number.
+    pub fn complete_look_up(&self, number: u64, job: JobRecord) {
+        if let Some(found) = self.look_ups.borrow_mut().remove(&number) {
+            let _ = found.send(job);
+        }
+    }
+
     /// Completes the [`replicate`](Self::replicate) call with this number.
     pub fn acknowledge(&self, number: u64) {
         if let Some(done) = self.unacknowledged.borrow_mut().remove(&number) {
@@ -73,5 +131,6 @@
         self.outbox.replace(None);
         self.usage.set(Usage::default());
         self.unacknowledged.borrow_mut().drain().for_each(|(_, done)| _ = done.send(true));
+        self.look_ups.borrow_mut().clear();
     }
 }
--- a/crates/daemon/src/takeover.rs
+++ b/crates/daemon/src/takeover.rs
@@ -5,6 +5,7 @@
 use crate::downstream::DownstreamServer;
 use crate::event::{CallOrigin, NodeEvent};
 use crate::hot_restart::codec::{self, InheritedState, Message, PROTOCOL_VERSION, StateBounds, Usage};
+use crate::hot_restart::job_record;
 use crate::hot_restart::link::{Link, LinkError, LinkReader, LinkWriter, WRITE_TIMEOUT};
 use crate::hot_restart::sibling::SiblingProcess;
 use crate::lifecycle::{DrainOrigin, DrainRequest, Lifecycle, LifecycleState, Shutdown};
@@ -305,6 +306,11 @@
                 self.sibling.set_usage(usage);
                 self.set_sibling_usage(usage);
             }
+            Message::LookUp { number, identity } => {
+                let job = self.downstream.job_record(&identity).await;
+                self.sibling.send(job_record::reply(number, job));
+            }
+            Message::Found { number, job } => self.sibling.complete_look_up(number, job),
             Message::Ready if role == Role::Old => {
                 tracing::info!("hot restart: the new process takes clients");
                 self.lifecycle.update(|conditions| conditions.has_ready_successor = true);
--- a/crates/daemon/tests/common/mod.rs
+++ b/crates/daemon/tests/common/mod.rs
@@ -1,6 +1,7 @@
 //! Helpers for the tests that run a node as a process.
 #![allow(dead_code)]
 pub mod durable;
+pub mod platform;
 
 use serde_json::{Value, json};
 use socket2::{Domain, Socket, Type};
--- a/crates/daemon/tests/operation.rs
+++ b/crates/daemon/tests/operation.rs
@@ -3,80 +3,20 @@
 mod common;
 
 use command_fds::{CommandFdExt, FdMapping};
+use common::platform::*;
 use common::*;
 use rustix::process::Pid;
 use rustix::thread::{CpuSet, sched_getaffinity, sched_setaffinity};
 use serde_json::{Value, json};
 use std::collections::BTreeSet;
 use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpStream};
 use std::os::unix::net::{UnixListener, UnixStream};
-use std::path::PathBuf;
-use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, mpsc};
 use std::time::{Duration, Instant};
 use troutknot_emulator::scripted::{Action, Discovery, Executor, FullBacklogExecutor};
 
-/// A node with an admin address.
-struct AdminNode {
-    node: Node,
-    admin_address: SocketAddr,
-}
-
-/// A configuration of a node with an admin address.
-fn config(discovery: &Discovery, settings: Value) -> Value {
-    json!({"name": "n0", "listen": "127.0.0.1:0", "management": "127.0.0.1:0",
-        "discovery": discovery.addr.to_string(), "seed": "8c1f30d27a5be964",
-        "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 256}, "settings": settings})
-}
-
-impl AdminNode {
-    /// Starts a node whose command is changed by `customize`.
-    fn start_customized(discovery: &Discovery, customize: impl FnOnce(&mut std::process::Command)) -> Self {
-        Self::start_with_settings(discovery, settings(), customize)
-    }
-
-    /// As [`AdminNode::start_customized`], with these settings.
-    fn start_with_settings(
-        discovery: &Discovery,
-        settings: Value,
-        customize: impl FnOnce(&mut std::process::Command),
-    ) -> Self {
-        let config = config(discovery, settings);
-        let node = Node::start_from_config(config, |path| spawn_customized_node(path, "info", "", customize));
-        let line = node.wait_for_log("admin listening");
-        let admin_address = parse_address_field(&line);
-        let admin_node = AdminNode { node, admin_address };
-        wait_until("the node is ready", || admin_node.call("GET", "/v1/readyz") == 200);
-        admin_node
-    }
-
-    /// Makes an admin call and returns its status.
-    fn call(&self, method: &str, path: &str) -> u16 {
-        self.send(&format!("{method} {path} HTTP/1.1\r\nHost: n\r\n\r\n"))
-    }
-
-    /// Sends a request to the admin address and returns the status of its response.
-    fn send(&self, request: &str) -> u16 {
-        let stream = TcpStream::connect(self.admin_address).unwrap();
-        // An admin call has to be answered within a second.
-        stream.set_read_timeout(Some(Duration::from_secs(1))).unwrap();
-        send_request(&mut BufReader::new(stream), request).0
-    }
-
-    /// The status of a health check.
-    fn health(&self) -> u16 {
-        self.node.send_request(HEALTH_CHECK).0
-    }
-}
-
-/// Starts two scripted executors and a discovery that lists them as `s-1` and `s-2`.
-fn start_executors_and_discovery() -> ([Executor; 2], Discovery) {
-    let executors = [Executor::start(), Executor::start()];
-    let entries = [entry("s-1", &executors[0], "Ready"), entry("s-2", &executors[1], "Ready")];
-    (executors, Discovery::start(list(7, true, &entries)))
-}
-
 /// Sends requests over one connection, and returns the indices of the executors that received any.
 fn find_used_executors(admin_node: &AdminNode, executors: &[Executor; 2], count: usize) -> BTreeSet<usize> {
     let mut connection = admin_node.node.connect();
@@ -378,74 +318,6 @@
     );
 }
 
-/// What a platform passes to the processes of one node: a listening socket and a directory for hot restarts.
-struct Platform {
-    socket: TcpListener,
-    directory: PathBuf,
-}
-
-impl Platform {
-    fn new() -> Self {
-        static NUMBER: AtomicU32 = AtomicU32::new(0);
-        let number = NUMBER.fetch_add(1, Ordering::Relaxed);
-        let directory = std::env::temp_dir().join(format!("troutknot-{}-{number}", std::process::id()));
-        std::fs::create_dir_all(&directory).unwrap();
-        Platform { socket: TcpListener::bind("127.0.0.1:0").unwrap(), directory }
-    }
-
-    /// Starts another process of the node.
-    fn start(&self, discovery: &Discovery) -> AdminNode {
-        self.start_with_operator_file(discovery, "")
-    }
-
-    /// As [`Platform::start`], with an operator's file unless its path is empty.
-    fn start_with_operator_file(&self, discovery: &Discovery, operator_file: &str) -> AdminNode {
-        self.start_with_settings(discovery, settings(), operator_file)
-    }
-
-    /// As [`Platform::start_with_operator_file`], with these settings.
-    fn start_with_settings(&self, discovery: &Discovery, settings: Value, operator_file: &str) -> AdminNode {
-        let fd = self.socket.try_clone().unwrap().into();
-        AdminNode::start_with_settings(discovery, settings, |program| {
-            program
-                .env("ROUTER_PASSED_SOCKET", "5")
-                .env("TMPDIR", &self.directory)
-                .env("TROUTKNOT_FILE", operator_file);
-            program.fd_mappings(vec![FdMapping { parent_fd: fd, child_fd: 5 }]).unwrap();
-        })
-    }
-
-    fn connect(&self) -> BufReader<TcpStream> {
-        let stream = TcpStream::connect(self.socket.local_addr().unwrap()).unwrap();
-        stream.set_read_timeout(Some(WAIT_TIMEOUT)).unwrap();
-        BufReader::new(stream)
-    }
-
-    /// Sends a request on a new connection and returns its status.
-    fn submit(&self, id: &str) -> u16 {
-        send_request(&mut self.connect(), build_request("render", id, 3.0, "")).0
-    }
-
-    /// The path of the socket that the processes use for a hot restart.
-    fn hot_restart_socket_path(&self) -> Option<PathBuf> {
-        std::fs::read_dir(&self.directory).unwrap().map(|entry| entry.unwrap().path()).next()
-    }
-}
-
-impl Drop for Platform {
-    fn drop(&mut self) {
-        let _ = std::fs::remove_dir_all(&self.directory);
-    }
-}
-
-/// Sends 30 requests, each on a new connection, and returns the indices of the executors that received any.
-fn find_used_via_platform(platform: &Platform, executors: &[Executor; 2]) -> BTreeSet<usize> {
-    (0..30).for_each(|_| assert_eq!(platform.submit(&next_request_id()), 200));
-    let has_received =
-        |index: &usize| !std::mem::take(&mut *executors[*index].requests.lock().unwrap()).is_empty();
-    (0..2).filter(has_received).collect()
-}
-
 /// Clients must get an answer to each request while a new process takes over the listening socket.
 #[test]
 fn no_request_fails_during_a_hot_restart() {
@@ -604,79 +476,6 @@
     assert_eq!(find_used_via_platform(platform, executors), [0, 1].into());
 }
 
-/// During a hot restart the new process must reject durable requests until the old one has released the ledger, so
-/// that none runs twice.
-#[test]
-fn one_process_at_a_time_has_the_ledger_open() {
-    let (executor, discovery) = start_executor_and_discovery();
-    let platform = Platform::new();
-    let file = |extension: &str| format!("{}.{extension}", platform.directory.display());
-    let (operator_file, ledger) = (file("toml"), file("ledger"));
-    std::fs::write(&operator_file, format!("[durable]\npath = \"{ledger}\"\n")).unwrap();
-    let keyed = |key: &str| {
-        build_request("publish", &next_request_id(), 9.0, "b").replacen(
-            "X-Other: kept",
-            &format!("Idempotency-Key: {key}"),
-            1,
-        )
-    };
-    let old = platform.start_with_operator_file(&discovery, &operator_file);
-    executor.actions.lock().unwrap().push_back(Action::Wait);
-    let mut open_request = platform.connect();
-    open_request.get_mut().write_all(keyed("k1").as_bytes()).unwrap();
-    executor.wait_for_attempts(1);
-    let new = platform.start_with_operator_file(&discovery, &operator_file);
-    old.node.wait_for_log("hot restart: the new process takes clients");
-    assert_eq!(
-        send_request(&mut platform.connect(), keyed("k1")).0,
-        503,
-        "the previous process has the ledger open"
-    );
-    assert_eq!(send_request(&mut platform.connect(), keyed("k2")).0, 503);
-    assert_eq!(platform.submit(&next_request_id()), 200, "requests that are not durable are served");
-    old.node.terminate();
-    old.node.wait_for_log("shutdown requested");
-    executor.resume.send(()).unwrap();
-    assert_eq!(read_response(&mut open_request).0, 200);
-    drop(open_request);
-    assert!(old.node.wait_for_log("shutdown complete").ends_with("connections=0"));
-    wait_until("the new process has the ledger", || {
-        send_request(&mut platform.connect(), keyed("k1")).0 == 200
-    });
-    assert_eq!(send_request(&mut platform.connect(), keyed("k2")).0, 200);
-    assert_eq!(executor.requests.lock().unwrap().len(), 3, "each request ran once");
-    drop(new);
-    [operator_file, ledger].iter().for_each(|file| std::fs::remove_file(file).unwrap());
-}
-
-/// A new process whose settings allow fewer attempts than the old one recorded must take over the ledger. If it refused
-/// the records, it would reject every durable request for as long as it runs.
-#[test]
-fn a_hot_restart_with_fewer_attempts_takes_over_the_ledger() {
-    let (executor, discovery) = start_executor_and_discovery();
-    let platform = Platform::new();
-    let file = |extension: &str| format!("{}.{extension}", platform.directory.display());
-    let (operator_file, ledger) = (file("toml"), file("ledger"));
-    std::fs::write(&operator_file, format!("[durable]\npath = \"{ledger}\"\n")).unwrap();
-    let request = || {
-        let request = build_request("publish", &next_request_id(), 9.0, "b");
-        request.replacen("X-Other: kept", "Idempotency-Key: k1", 1)
-    };
-    let old = platform.start_with_operator_file(&discovery, &operator_file);
-    executor.actions.lock().unwrap().extend([Action::Rejected, Action::Rejected, Action::Done]);
-    assert_eq!(send_request(&mut platform.connect(), request()).0, 200);
-    let new = platform.start_with_settings(&discovery, settings_with_max_attempts(1), &operator_file);
-    old.node.wait_for_log("hot restart: the new process takes clients");
-    old.node.terminate();
-    assert!(old.node.wait_for_log("shutdown complete").ends_with("connections=0"));
-    wait_until("the new process returns the recorded answer", || {
-        send_request(&mut platform.connect(), request()).0 == 200
-    });
-    assert_eq!(executor.requests.lock().unwrap().len(), 3, "the request ran once");
-    drop(new);
-    [operator_file, ledger].iter().for_each(|file| std::fs::remove_file(file).unwrap());
-}
-
 /// The limit on descriptors applies to the node, so that two processes during a hot restart must share it.
 #[test]
 fn both_processes_together_stay_within_the_descriptor_limit() {
@@ -796,39 +595,3 @@
     assert!(old.node.wait_for_log("shutdown complete").ends_with("connections=0"));
     find_used_via_platform(&platform, &executors);
 }
-
-/// A client that sends its request slowly must not delay a drain, and an open durable request must be completed.
-#[test]
-fn a_drain_closes_slow_connections_and_completes_durable_requests() {
-    let (executor, discovery) = start_executor_and_discovery();
-    let platform = Platform::new();
-    let file = |extension: &str| format!("{}.{extension}", platform.directory.display());
-    let (operator_file, ledger) = (file("toml"), file("ledger"));
-    std::fs::write(&operator_file, format!("[durable]\npath = \"{ledger}\"\n")).unwrap();
-    let admin_node =
-        AdminNode::start_customized(&discovery, |program| _ = program.env("TROUTKNOT_FILE", &operator_file));
-    let (mut idle, mut slow, mut open) =
-        (admin_node.node.connect(), admin_node.node.connect(), admin_node.node.connect());
-    assert_eq!(send_request(&mut idle, build_request("render", &next_request_id(), 3.0, "")).0, 200);
-    executor.actions.lock().unwrap().push_back(Action::Wait);
-    open.get_mut().write_all(build_request("publish", &next_request_id(), 20.0, "").as_bytes()).unwrap();
-    executor.wait_for_attempts(2);
-    let request = build_request("render", &next_request_id(), 3.0, "abc");
-    let (first_part, rest) = request.split_at(request.len() - 1);
-    assert_eq!(admin_node.call("PUT", "/v1/node/drain"), 200);
-    slow.get_mut().write_all(first_part.as_bytes()).unwrap();
-    assert_eq!(idle.read(&mut [0]).unwrap(), 0, "an idle connection closes once the drain has settled");
-    let (status, (head, _)) = send_request(&mut slow, rest);
-    assert_eq!(
-        (status, field(&head, "connection")),
-        (503, Some("close")),
-        "the request was complete too late: {head}"
-    );
-    executor.resume.send(()).unwrap();
-    let (status, (head, _)) = read_response(&mut open);
-    assert_eq!((status, field(&head, "connection")), (200, Some("close")), "the open request is completed");
-    assert_eq!(admin_node.call("PUT", "/v1/node/activate"), 200);
-    assert_eq!(admin_node.node.send_request(build_request("publish", &next_request_id(), 3.0, "")).0, 200);
-    drop(admin_node);
-    [operator_file, ledger].iter().for_each(|file| std::fs::remove_file(file).unwrap());
-}
--- a/crates/daemon/tests/unit/driver.rs
+++ b/crates/daemon/tests/unit/driver.rs
@@ -2,7 +2,7 @@
 use super::*;
 use crate::byte_budget::ByteBudget;
 use crate::config::limits::{LimitInputs, Limits};
-use crate::event::{CallOrigin, EndpointUpdate};
+use crate::event::{CallOrigin, EndpointUpdate, RecoveredAttempt};
 use crate::hot_restart::codec::{self, InheritedState};
 use crate::in_flight::Answer;
 use crate::in_flight::ClientRequest;
@@ -16,6 +16,7 @@
 use tokio::task::{LocalSet, spawn_local};
 use tokio::time::timeout;
 use troutknot::{AttemptId, ListUpdate};
+use troutknot_ledger::Fence;
 
 const MAX_DEADLINE: Duration = Duration::from_secs(5);
 const ID_FIELD: &str = "Request-Id: ";
@@ -352,15 +353,23 @@
         let deadline = Instant::now() + MAX_DEADLINE;
         InFlightRequest::new(RequestId(request_id), request, deadline, &budget).unwrap()
     };
-    let [before, after, sent] = [1, 2, 3].map(in_flight);
+    let [before, after, sent, recovered, unsent] = [1, 2, 3, 4, 5].map(in_flight);
     driver.handle_event(clock.now(), NodeEvent::RequestArrived(before.clone()));
     driver.handle_event(clock.now(), NodeEvent::RequestArrived(sent.clone()));
     driver.requests.get_mut(&sent.request_id).unwrap().attempts = 1;
     driver.handle_event(clock.now(), NodeEvent::ShutDown);
     driver.handle_event(clock.now(), NodeEvent::RequestArrived(after.clone()));
-    for (arrival, in_flight, expected) in
-        [("before", before, "Rejected"), ("after", after, "Rejected"), ("sent", sent, "Failed")]
-    {
+    let attempt =
+        RecoveredAttempt { executor: "a".into(), sent_at: clock.now(), outcome: None, fence: Fence(1) };
+    driver.handle_event(clock.now(), NodeEvent::RequestRecovered(recovered.clone(), vec![attempt]));
+    driver.handle_event(clock.now(), NodeEvent::RequestRecovered(unsent.clone(), Vec::new()));
+    for (arrival, in_flight, expected) in [
+        ("before", before, "Rejected"),
+        ("after", after, "Rejected"),
+        ("sent", sent, "Failed"),
+        ("recovered afterwards with an attempt that may have run", recovered, "Failed"),
+        ("recovered afterwards without an attempt", unsent, "Rejected"),
+    ] {
         assert!(in_flight.is_closed(), "{arrival}: it is answered");
         assert!(format!("{:?}", in_flight.answered().await).starts_with(expected), "{arrival}");
     }
--- a/crates/daemon/tests/unit/hot_restart_codec.rs
+++ b/crates/daemon/tests/unit/hot_restart_codec.rs
@@ -1,5 +1,6 @@
 //! Messages between two processes of a node: accepted messages, and those that are errors.
 use super::*;
+use crate::hot_restart::job_record::reply;
 
 const BOUNDS: StateBounds = StateBounds { executors: 3, ids: 1000 };
 
@@ -41,6 +42,40 @@
     assert_eq!((inherited.executors[0].max_slots, inherited.running_times.unwrap().sample_size), (4.0, 2));
 }
 
+/// The messages about durable requests as this release writes them.
+const FROZEN_LOOK_UPS: &[&str] = &[
+    r#"{"say":"found","number":4,"job":{"is":"new"}}"#,
+    r#"{"say":"found","number":4,"job":{"is":"unresolved"}}"#,
+    r#"{"say":"found","number":4,"job":{"is":"completed","result":"a\n"}}"#,
+    r#"{"say":"found","number":4,"job":{"is":"rejected","retry_after_ms":50.0}}"#,
+    r#"{"say":"found","number":4,"job":{"is":"failed"}}"#,
+    r#"{"say":"found","number":4,"job":{"is":"key-mismatch"}}"#,
+    r#"{"say":"found","number":4,"job":{"is":"duplicate-id"}}"#,
+];
+
+#[test]
+fn look_ups_of_this_release_stay_readable() {
+    let look_up =
+        format!(r#"{{"say":"look-up","number":4,"job":{{"key":"k1","id":"a1","digest":{:?}}}}}"#, [7; 32])
+            .replace(", ", ",");
+    for line in FROZEN_LOOK_UPS.iter().copied().chain([look_up.as_str()]) {
+        let message = decode(line.as_bytes()).unwrap();
+        assert_eq!(String::from_utf8(encode(&message)).unwrap().trim_end(), line);
+    }
+}
+
+/// A line above its bound would end the connection of the two processes.
+#[test]
+fn a_result_that_does_not_fit_into_a_line_is_reported_as_unresolved() {
+    let is_unresolved = |result: String| {
+        let message = reply(1, JobRecord::Completed { result });
+        assert!(encode(&message).len() <= MAX_LINE_BYTES);
+        message == Message::Found { number: 1, job: JobRecord::Unresolved }
+    };
+    assert!(!is_unresolved("r".repeat(128 * 1024)));
+    assert!(is_unresolved("\u{1}".repeat(64 * 1024)), "each byte takes six as an escape");
+}
+
 #[test]
 fn truncated_malformed_and_incompatible_messages_are_errors() {
     let later = r#"{"say":"weather","rain":true}"#;
