A connection lets other tasks run after 16 reads and writes; trailers have a bound

Cause: a node is one thread, and the task of a connection whose peer always has sent more never waits where its requests need nobody else. Its own timeouts did not fire either. A trailer section was discarded without end.

Change: a yield after 16 reads and writes of a connection, which leaves the timers of the same task pollable, unlike the runtime's budget; 431 above 16 KiB of trailers.

--- a/crates/daemon/src/http1/body.rs
+++ b/crates/daemon/src/http1/body.rs
@@ -10,6 +10,9 @@
 /// Bytes that a chunk's size and extensions may take before their line ends.
 const MAX_CHUNK_SIZE_LINE_BYTES: usize = 256;
 
+/// Bytes that a trailer section may have in all; as many as a head.
+const MAX_TRAILER_BYTES: usize = 16 * 1024;
+
 const CRLF: &[u8] = b"\r\n";
 
 /// Decodes one body; each variant is the part of the body that is decoded next.
@@ -23,8 +26,8 @@
     ChunkData(usize),
     /// The line end after a chunk.
     ChunkEnd,
-    /// The trailer section, which is discarded (RFC 9112, section 7.1.2).
-    Trailers,
+    /// The trailer section, which is discarded (RFC 9112, section 7.1.2); with the bytes discarded so far.
+    Trailers(usize),
     /// All bytes until the connection is closed; possible in responses only.
     UntilClose,
     /// The body is complete.
@@ -104,7 +107,7 @@
             }
             BodyDecoder::ChunkSize => self.read_chunk_size(input),
             BodyDecoder::ChunkEnd => self.read_chunk_end(input),
-            BodyDecoder::Trailers => self.skip_trailer(input),
+            BodyDecoder::Trailers(discarded) => self.skip_trailer(input, discarded),
             BodyDecoder::UntilClose => {
                 copy_all(input, out, max_bytes)?;
                 Ok(Step::NeedsInput)
@@ -128,7 +131,7 @@
             Ok(httparse::Status::Complete((line_length, size))) => {
                 let size = usize::try_from(size).map_err(|_| MessageError::BodyTooLarge)?;
                 input.consume(line_length);
-                *self = if size == 0 { BodyDecoder::Trailers } else { BodyDecoder::ChunkData(size) };
+                *self = if size == 0 { BodyDecoder::Trailers(0) } else { BodyDecoder::ChunkData(size) };
                 Ok(Step::Advanced)
             }
             Ok(httparse::Status::Partial) if buffered < MAX_CHUNK_SIZE_LINE_BYTES => Ok(Step::NeedsInput),
@@ -151,13 +154,20 @@
     }
 
     /// Discards one line of the trailer section; an empty line ends the body.
-    fn skip_trailer(&mut self, input: &mut RingBuffer) -> Result<Step, MessageError> {
+    fn skip_trailer(&mut self, input: &mut RingBuffer, discarded: usize) -> Result<Step, MessageError> {
         match input.bytes().windows(CRLF.len()).position(|pair| pair == CRLF) {
+            Some(0) => {
+                input.consume(CRLF.len());
+                *self = BodyDecoder::Done;
+                Ok(Step::Advanced)
+            }
             Some(line_length) => {
-                input.consume(line_length + CRLF.len());
-                if line_length == 0 {
-                    *self = BodyDecoder::Done;
+                let discarded = discarded + line_length + CRLF.len();
+                if discarded > MAX_TRAILER_BYTES {
+                    return Err(MessageError::HeadTooLarge);
                 }
+                input.consume(line_length + CRLF.len());
+                *self = BodyDecoder::Trailers(discarded);
                 Ok(Step::Advanced)
             }
             None if input.is_full() => Err(MessageError::HeadTooLarge),
--- a/crates/daemon/src/http1/connection.rs
+++ b/crates/daemon/src/http1/connection.rs
@@ -10,6 +10,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpStream;
+use tokio::task::yield_now;
 use tokio::time::{sleep, timeout};
 
 /// Bytes of a peer's input that are discarded without a pause while waiting for the end of its stream.
@@ -18,6 +19,10 @@
 /// Pause after each burst of discarded bytes, which bounds the load that a peer sending at full speed causes.
 const DISCARD_PAUSE: Duration = Duration::from_millis(10);
 
+/// Number of reads and writes of one connection after which other tasks run. A peer that sends at full speed makes each
+/// of them complete without a wait, so that the task of its connection would never end its turn.
+const MAX_IO_PER_TURN: u32 = 16;
+
 /// A socket with an input and an output buffer.
 pub struct Connection {
     stream: TcpStream,
@@ -25,6 +30,8 @@
     output: RingBuffer,
     /// Bytes of input that were discarded; if there are any, no further message can be parsed.
     discarded_bytes: usize,
+    /// Reads and writes since other tasks last ran.
+    io_in_turn: u32,
 }
 
 impl Connection {
@@ -38,11 +45,23 @@
             input: RingBuffer::new(buffer_bytes, buffer_budget),
             output: RingBuffer::new(buffer_bytes, buffer_budget),
             discarded_bytes: 0,
+            io_in_turn: 0,
+        }
+    }
+
+    /// Lets other tasks run if this connection has had its turn. Unlike the cooperative budget of the runtime, this leaves
+    /// timeouts of the same task pollable.
+    async fn end_turn_if_due(&mut self) {
+        self.io_in_turn += 1;
+        if self.io_in_turn >= MAX_IO_PER_TURN {
+            self.io_in_turn = 0;
+            yield_now().await;
         }
     }
 
     /// Waits for more input and returns the number of bytes read, or 0 at the end of the stream.
     pub async fn read(&mut self) -> io::Result<usize> {
+        self.end_turn_if_due().await;
         loop {
             self.stream.readable().await?;
             let stream = &self.stream;
@@ -77,6 +96,7 @@
 
     /// Writes some of the buffered output.
     async fn flush_some(&mut self) -> io::Result<()> {
+        self.end_turn_if_due().await;
         loop {
             let stream = &self.stream;
             match self.output.write_to(|parts| stream.try_write_vectored(parts)) {
