Ids of requests that must not run twice are kept, and both processes agree on them

Cause: ids of past requests were dropped at a bound within the longest deadline; and each process told the other one of an admitted id without waiting for it.

Change: such ids have a store of their own, in which nothing is dropped within the deadline under which it was recorded; without memory for an id the request is rejected. A request that was never dispatched gives its place back. During a hot restart the other process agrees first (messages `claim`, `refused`, `answers-claims`, `protected-ids`; earlier releases ignore them and are told as before). The two stores share the memory that all ids had, so no other bound changes; the unit test of the limits counts both.

Failed try: a store of twice the size beside the old one took the 19,000 executors at 128 MB under their bound; the limits' tests showed it.

--- a/crates/daemon/src/config/limits/components.rs
+++ b/crates/daemon/src/config/limits/components.rs
@@ -28,6 +28,9 @@
     /// Maximum number of ids of completed requests that are stored for deduplication; once that is reached, at least
     /// half of them are stored at any time.
     pub max_completed_ids: usize,
+    /// Maximum number of ids that are stored of requests that must not run twice, in two generations of one longest
+    /// deadline each; such a request is rejected if there is no memory for its id.
+    pub max_protected_ids: usize,
     /// Bounds the time to read a request (from connect for the first one) and the time to write an answer.
     pub io_timeout: Duration,
     /// Maximum idle time of a connection after an answer.
@@ -136,7 +139,8 @@
             buffer_bytes: memory / 16,
             max_partial_bodies: partial_body_bytes / max_body_bytes,
             max_reserved_bytes,
-            max_completed_ids: memory / 4096,
+            max_completed_ids: memory / 8192,
+            max_protected_ids: memory / 8192,
             io_timeout: Duration::from_secs(2),
             idle_timeout: Duration::from_secs(120),
             min_new_connection_age: Duration::from_millis(150),
--- a/crates/daemon/src/config/limits/mod.rs
+++ b/crates/daemon/src/config/limits/mod.rs
@@ -211,7 +211,8 @@
             self.discovery.max_buffered_text_bytes
         };
         // Each of two processes needs these separately; only one of them has the ledger open.
-        let bytes_per_process = downstream.max_completed_ids * COMPLETED_ID_BYTES
+        let bytes_per_process = (downstream.max_completed_ids + downstream.max_protected_ids)
+            * COMPLETED_ID_BYTES
             + admin.max_connections * admin.buffer_bytes * 2
             + downstream.max_rejected_connections * 2 * INITIAL_BYTES
             + list_bytes;
--- a/crates/daemon/src/downstream/admission.rs
+++ b/crates/daemon/src/downstream/admission.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::Instant;
+use troutknot::Effect;
 
 /// Upper bound on the part of a client's timeout that the margin of a request's deadline may take.
 const MAX_DEADLINE_MARGIN_SHARE: f64 = 0.2;
@@ -23,6 +24,10 @@
 /// A request that was admitted.
 pub(super) struct AdmittedRequest {
     pub in_flight: Rc<InFlightRequest>,
+    /// Identifies the id of the client.
+    pub token: u64,
+    /// Whether the request must not run twice, so that the sibling has to agree before it is dispatched.
+    pub needs_claim: bool,
     /// When the client gets an answer even if the request has no outcome yet.
     pub last_answer_at: Instant,
 }
@@ -69,10 +74,18 @@
         let request_id = self.request_ids.next_id();
         let in_flight = InFlightRequest::new(request_id, request, deadline, &self.request_bytes)
             .ok_or(AdmissionError::NoCapacity)?;
-        self.request_ids.record_token(token, &self.limits);
-        self.sibling.announce_request(token);
+        let may_repeat = self.codec.load().effect(in_flight.request.class) == Some(Effect::Idempotent);
+        if may_repeat {
+            self.request_ids.record_token(token, &self.limits);
+        } else if !self.request_ids.protect_token(token, &self.limits) {
+            return Err(AdmissionError::NoCapacity);
+        }
+        let needs_claim = !may_repeat && self.sibling.answers_claims();
+        if !needs_claim {
+            self.sibling.announce_request(token);
+        }
         self.request_ids.open(client_id);
-        Ok(AdmittedRequest { in_flight, last_answer_at })
+        Ok(AdmittedRequest { in_flight, token, needs_claim, last_answer_at })
     }
 
     /// Time after which a client that waits for `time_left` is answered even if its request has no outcome.
--- a/crates/daemon/src/downstream/durable_exchange.rs
+++ b/crates/daemon/src/downstream/durable_exchange.rs
@@ -1,7 +1,7 @@
 //! Handles a durable request: it is recorded in the ledger before it is dispatched, and a repeated request waits
 //! for the same answer.
 use super::DownstreamServer;
-use super::admission::{AdmissionError, ConnectionAdmission};
+use super::admission::{AdmissionError, AdmittedRequest, ConnectionAdmission};
 use super::record_lookup::ResolvedJob;
 use super::request::Submission;
 use crate::durable::{self, Acceptance, Durable, LookupResult, PendingAnswer};
@@ -180,7 +180,8 @@
                 return Ok(JobStart::NotRecorded(DurableAnswer::retry_later()));
             }
         };
-        let (in_flight, last_answer_at) = (admitted.in_flight, admitted.last_answer_at);
+        // The other process has no ledger open, so that it runs none and needs no claim.
+        let AdmittedRequest { in_flight, last_answer_at, .. } = admitted;
         in_flight.is_durable.set(true);
         let acceptance = ledger.accept(&in_flight, last_answer_at).await;
         // From here on the ledger detects duplicates of it.
--- a/crates/daemon/src/downstream/exchange.rs
+++ b/crates/daemon/src/downstream/exchange.rs
@@ -44,6 +44,17 @@
     end: ExchangeEnd,
 }
 
+/// How the claim of a request's id at the sibling ended.
+enum Claim {
+    Granted,
+    /// The sibling has admitted a request of this id.
+    Refused,
+    /// The sibling has not answered in time, so that it is unknown whether a request of this id ran.
+    Unanswered,
+    /// The client has disconnected.
+    Disconnected,
+}
+
 /// One request of a client and its response.
 pub(super) struct Exchange<'a> {
     pub server: &'a DownstreamServer,
@@ -124,13 +135,44 @@
             }
         };
         self.entry.set_state(ConnectionState::Busy);
-        let answer = self.wait_for_answer(&admitted).await;
-        self.server.request_ids.close(&admitted.in_flight.request.id);
+        let answer = match self.claim(&admitted).await {
+            Claim::Granted => self.wait_for_answer(&admitted).await,
+            Claim::Unanswered => Some(Answer::Failed),
+            Claim::Disconnected => None,
+            Claim::Refused => {
+                self.close_request(&admitted);
+                return self.reject(409, &AdmissionError::Duplicate).await;
+            }
+        };
+        self.close_request(&admitted);
         let Some(answer) = answer else { return ExchangeEnd::Drop };
         let reuse = self.reuse_after_answer(reuse);
         self.send_answer(&answer, reuse).await.end
     }
 
+    fn close_request(&self, admitted: &AdmittedRequest) {
+        let request_ids = &self.server.request_ids;
+        request_ids.close(&admitted.in_flight.request.id);
+        if !admitted.in_flight.was_dispatched.get() {
+            request_ids.forget_token(admitted.token);
+        }
+    }
+
+    /// Asks the sibling whether it has admitted a request of the same id, if the request must not run twice.
+    async fn claim(&mut self, admitted: &AdmittedRequest) -> Claim {
+        if !admitted.needs_claim {
+            return Claim::Granted;
+        }
+        tokio::select! {
+            biased;
+            is_granted = self.server.sibling.claim(admitted.token) => {
+                if is_granted { Claim::Granted } else { Claim::Refused }
+            }
+            () = self.connection.closed_by_peer() => Claim::Disconnected,
+            () = sleep_until(admitted.last_answer_at) => Claim::Unanswered,
+        }
+    }
+
     /// Rejects a request that was not admitted, and closes the connection.
     async fn reject_for(&mut self, retry_after: Duration) -> ExchangeEnd {
         let answer = Answer::Rejected(Some(to_millis(retry_after)));
--- a/crates/daemon/src/downstream/mod.rs
+++ b/crates/daemon/src/downstream/mod.rs
@@ -120,6 +120,26 @@
         self.request_ids.recent_tokens()
     }
 
+    /// Tokens of the ids of requests that must not run twice.
+    pub fn protected_request_ids(&self) -> Vec<u64> {
+        self.request_ids.protected_tokens()
+    }
+
+    /// Adds the tokens of requests of an earlier process that must not run twice.
+    pub fn import_protected_request_ids(&self, tokens: &[u64]) {
+        self.request_ids.import_protected(tokens, &self.limits);
+    }
+
+    /// Adds the token of a request that the sibling is about to dispatch and that must not run twice. Returns false if
+    /// this process has admitted a request of the same id.
+    pub fn record_claim(&self, token: u64) -> bool {
+        let is_new = !self.request_ids.is_recent(token, &self.limits);
+        if is_new && !self.request_ids.protect_token(token, &self.limits) {
+            self.request_ids.record_token(token, &self.limits);
+        }
+        is_new
+    }
+
     /// Adds tokens of the ids of requests that the sibling has admitted.
     pub fn record_sibling_requests(&self, tokens: &[u64]) {
         for token in tokens {
--- a/crates/daemon/src/driver/actions.rs
+++ b/crates/daemon/src/driver/actions.rs
@@ -51,6 +51,7 @@
         let decided_at = Instant::now();
         request.last_dispatch = Some(LastDispatch { executor, decided_at });
         let in_flight = request.in_flight.clone();
+        in_flight.was_dispatched.set(true);
         let name = self.executor_name(executor);
         tracing::debug!(executor = %name, attempt = attempt_id.0, request = request_id.0, "attempt dispatched");
         let deadline = in_flight.deadline;
--- a/crates/daemon/src/hot_restart/codec.rs
+++ b/crates/daemon/src/hot_restart/codec.rs
@@ -88,6 +88,26 @@
         /// The tokens.
         ids: Vec<u64>,
     },
+    /// Tokens among those of [`Message::Ids`] whose requests must not run twice. Earlier releases ignore it.
+    ProtectedIds {
+        /// The tokens.
+        ids: Vec<u64>,
+    },
+    /// The sender answers [`Message::Claim`]. Sent by the new process, and by the old one in reply.
+    AnswersClaims,
+    /// The sender is about to dispatch a request that must not run twice, and waits until this is answered by
+    /// [`Message::Acknowledged`] or [`Message::Refused`].
+    Claim {
+        /// The token of the request's id.
+        id: u64,
+        /// The number to repeat in the answer.
+        number: u64,
+    },
+    /// The sender has admitted a request of the id that the message with this number claims.
+    Refused {
+        /// The number of the message.
+        number: u64,
+    },
     /// Measurements of executors.
     Executors {
         /// One item per executor.
@@ -344,6 +364,8 @@
     pub dropped_entries: usize,
     /// Tokens of the ids of recent requests, the oldest first.
     pub ids: Vec<u64>,
+    /// Tokens of requests that must not run twice.
+    pub protected_ids: Vec<u64>,
     /// Measurements of executors.
     pub executors: Vec<ExecutorState>,
     /// Measurements of running times and probes; present once the state is complete.
@@ -372,6 +394,10 @@
                 self.ids.extend(ids);
                 self.ids.drain(..self.ids.len().saturating_sub(bounds.ids));
             }
+            Message::ProtectedIds { ids } => {
+                self.protected_ids.extend(ids);
+                self.protected_ids.drain(..self.protected_ids.len().saturating_sub(bounds.ids));
+            }
             Message::Executors { executors } => {
                 executors.iter().flat_map(ExecutorState::numbers).try_for_each(check_number)?;
                 self.executors.extend(executors);
--- a/crates/daemon/src/hot_restart/sibling.rs
+++ b/crates/daemon/src/hot_restart/sibling.rs
@@ -20,6 +20,7 @@
     /// Look-ups without an answer, by the number of the message.
     look_ups: RefCell<HashMap<u64, oneshot::Sender<JobRecord>>>,
     look_up_permits: Semaphore,
+    answers_claims: Cell<bool>,
     usage: Cell<Usage>,
 }
 
@@ -31,6 +32,7 @@
             last_number: Cell::default(),
             look_ups: RefCell::default(),
             look_up_permits: Semaphore::new(MAX_LOOK_UPS),
+            answers_claims: Cell::default(),
             usage: Cell::default(),
         }
     }
@@ -112,13 +114,31 @@
         }
     }
 
-    /// Completes the [`replicate`](Self::replicate) call with this number.
-    pub fn acknowledge(&self, number: u64) {
+    /// Completes the [`replicate`](Self::replicate) or [`claim`](Self::claim) call with this number.
+    pub fn acknowledge(&self, number: u64, is_accepted: bool) {
         if let Some(done) = self.unacknowledged.borrow_mut().remove(&number) {
-            let _ = done.send(true);
+            let _ = done.send(is_accepted);
         }
     }
 
+    /// Whether the sibling answers claims; one of an earlier release does not.
+    pub fn answers_claims(&self) -> bool {
+        self.answers_claims.get()
+    }
+
+    /// Records that the sibling answers claims.
+    pub fn set_answers_claims(&self) {
+        self.answers_claims.set(true);
+    }
+
+    /// Claims the id of a request that must not run twice. Returns false if the sibling has admitted a request of this id.
+    /// A sibling that disconnects has admitted none without a claim of its own.
+    pub async fn claim(&self, token: u64) -> bool {
+        let (done, is_granted) = oneshot::channel();
+        self.replicate(|number| Message::Claim { id: token, number }, done);
+        is_granted.await.unwrap_or(true)
+    }
+
     /// Starts to queue messages for a sibling, and returns the receiving end of the queue.
     pub fn connect(&self) -> mpsc::Receiver<Message> {
         let (sender, queue) = mpsc::channel(QUEUE_CAPACITY);
@@ -129,6 +149,7 @@
     /// Drops the connection: resets the sibling's usage and completes all calls that wait for it.
     pub fn disconnect(&self) {
         self.outbox.replace(None);
+        self.answers_claims.set(false);
         self.usage.set(Usage::default());
         self.unacknowledged.borrow_mut().drain().for_each(|(_, done)| _ = done.send(true));
         self.look_ups.borrow_mut().clear();
--- a/crates/daemon/src/in_flight.rs
+++ b/crates/daemon/src/in_flight.rs
@@ -56,6 +56,8 @@
     pub deadline: Instant,
     /// Whether the request is recorded in the ledger; each attempt is then recorded before it is sent.
     pub is_durable: Cell<bool>,
+    /// Whether an attempt was ordered, so that the request may have run.
+    pub was_dispatched: Cell<bool>,
     state: RefCell<State>,
     answered: Notify,
     closed: Notify,
@@ -83,6 +85,7 @@
             request,
             deadline,
             is_durable: Cell::new(false),
+            was_dispatched: Cell::new(false),
             state: RefCell::new(State::Open),
             answered: Notify::new(),
             closed: Notify::new(),
--- a/crates/daemon/src/node/builder.rs
+++ b/crates/daemon/src/node/builder.rs
@@ -57,7 +57,7 @@
             excluded: limits.executor_bounds.max_listed + MAX_EXCLUDED_ABSENT,
             entries: limits.executor_bounds.max_listed,
             executors: limits.executor_bounds.max_registered,
-            ids: 2 * limits.downstream.max_completed_ids,
+            ids: 2 * (limits.downstream.max_completed_ids + limits.downstream.max_protected_ids),
         };
         let mut handover = takeover::request_state(&path, &node.name, bounds).await;
         if let Some(Handover { inherited, .. }) = &mut handover {
@@ -197,6 +197,7 @@
     }
 
     fn restore_state(&self, driver: &mut Driver, mut inherited: InheritedState) {
+        self.downstream.import_protected_request_ids(&std::mem::take(&mut inherited.protected_ids));
         self.downstream.record_sibling_requests(&std::mem::take(&mut inherited.ids));
         if inherited.is_drained {
             self.shared.lifecycle.update(|conditions| {
--- a/crates/daemon/src/takeover.rs
+++ b/crates/daemon/src/takeover.rs
@@ -208,8 +208,9 @@
     async fn exchange(&self, link: Link, role: Role) {
         let queue = self.sibling.connect();
         let _ = self.events.send(NodeEvent::SiblingChanged { is_running: true }).await;
-        if role == Role::Old {
-            self.send_state().await;
+        match role {
+            Role::Old => self.send_state().await,
+            Role::New => self.sibling.send(Message::AnswersClaims),
         }
         let Link { mut reader, writer } = link;
         let error = tokio::select! {
@@ -231,6 +232,10 @@
         for message in codec::split_list(&ids, |ids| Message::Ids { ids }) {
             self.sibling.send(message);
         }
+        let protected = self.downstream.protected_request_ids();
+        for message in codec::split_list(&protected, |ids| Message::ProtectedIds { ids }) {
+            self.sibling.send(message);
+        }
         // The driver sends the rest, so that it is in order with later changes.
         let _ = self.events.send(NodeEvent::ExportState).await;
     }
@@ -300,7 +305,15 @@
                 );
                 self.sibling.send(Message::Acknowledged { number });
             }
-            Message::Acknowledged { number } => self.sibling.acknowledge(number),
+            Message::Acknowledged { number } => self.sibling.acknowledge(number, true),
+            Message::Refused { number } => self.sibling.acknowledge(number, false),
+            Message::Claim { id, number } => self.answer_claim(id, number),
+            Message::AnswersClaims => {
+                self.sibling.set_answers_claims();
+                if role == Role::Old {
+                    self.sibling.send(Message::AnswersClaims);
+                }
+            }
             Message::Ids { ids } => self.downstream.record_sibling_requests(&ids),
             Message::Usage(usage) => {
                 self.sibling.set_usage(usage);
@@ -324,6 +337,16 @@
     }
 }
 
+impl Takeover {
+    fn answer_claim(&self, token: u64, number: u64) {
+        let answer = match self.downstream.record_claim(token) {
+            true => Message::Acknowledged { number },
+            false => Message::Refused { number },
+        };
+        self.sibling.send(answer);
+    }
+}
+
 /// Writes queued messages until the connection fails or the queue is dropped.
 async fn write_queue(mut queue: mpsc::Receiver<Message>, mut writer: LinkWriter) -> LinkError {
     while let Some(message) = queue.recv().await {
--- a/crates/daemon/tests/unit/hot_restart_codec.rs
+++ b/crates/daemon/tests/unit/hot_restart_codec.rs
@@ -42,8 +42,12 @@
     assert_eq!((inherited.executors[0].max_slots, inherited.running_times.unwrap().sample_size), (4.0, 2));
 }
 
-/// The messages about durable requests as this release writes them.
-const FROZEN_LOOK_UPS: &[&str] = &[
+/// The messages that the first release of this protocol does not know, as this release writes them.
+const LATER_MESSAGES: &[&str] = &[
+    r#"{"say":"protected-ids","ids":[7]}"#,
+    r#"{"say":"answers-claims"}"#,
+    r#"{"say":"claim","id":7,"number":4}"#,
+    r#"{"say":"refused","number":4}"#,
     r#"{"say":"found","number":4,"job":{"is":"new"}}"#,
     r#"{"say":"found","number":4,"job":{"is":"unresolved"}}"#,
     r#"{"say":"found","number":4,"job":{"is":"completed","result":"a\n"}}"#,
@@ -54,11 +58,11 @@
 ];
 
 #[test]
-fn look_ups_of_this_release_stay_readable() {
+fn later_messages_of_this_release_stay_readable() {
     let look_up =
         format!(r#"{{"say":"look-up","number":4,"job":{{"key":"k1","id":"a1","digest":{:?}}}}}"#, [7; 32])
             .replace(", ", ",");
-    for line in FROZEN_LOOK_UPS.iter().copied().chain([look_up.as_str()]) {
+    for line in LATER_MESSAGES.iter().copied().chain([look_up.as_str()]) {
         let message = decode(line.as_bytes()).unwrap();
         assert_eq!(String::from_utf8(encode(&message)).unwrap().trim_end(), line);
     }
--- a/crates/daemon/tests/unit/limits.rs
+++ b/crates/daemon/tests/unit/limits.rs
@@ -26,7 +26,7 @@
         let downstream_buffers = downstream.max_connections * 2 * INITIAL_BYTES + downstream.buffer_bytes;
         let buffers = downstream_buffers + upstream.max_connections * limits.connection_buffer_bytes * 2;
         // Each of two processes has these of its own; only one of them has the ledger open.
-        let per_process = downstream.max_completed_ids * 24
+        let per_process = (downstream.max_completed_ids + downstream.max_protected_ids) * 24
             + admin.max_connections * admin.buffer_bytes * 2
             + downstream.max_rejected_connections * 2 * INITIAL_BYTES
             + bounds.max_retained * EXECUTOR_BYTES
--- a/crates/daemon/tests/unit/request_ids.rs
+++ b/crates/daemon/tests/unit/request_ids.rs
@@ -44,6 +44,46 @@
     assert!(ids.record_token(0, &limits), "the oldest is dropped");
 }
 
+/// Guards against a second run: the id of a request that must not run twice was dropped as soon as enough others had come.
+#[tokio::test(start_paused = true)]
+async fn no_number_of_other_requests_displaces_a_protected_token() {
+    let (ids, limits) = (RequestIds::new(), limits());
+    assert!(ids.protect_token(u64::MAX, &limits));
+    for token in 0..3 * limits.downstream.max_completed_ids as u64 {
+        ids.record_token(token, &limits);
+    }
+    assert!(ids.is_recent(u64::MAX, &limits));
+    let max_protected = limits.downstream.max_protected_ids as u64;
+    let fitting = (0..max_protected).take_while(|token| ids.protect_token(1 << 32 | token, &limits)).count();
+    assert_eq!(fitting as u64, max_protected / 2 - 1, "there is no memory for more within one deadline");
+    ids.forget_token(1 << 32);
+    assert!(ids.protect_token(1 << 33, &limits), "a request that was never dispatched needs none");
+    assert_eq!(ids.protected_tokens().len() as u64, max_protected / 2);
+    advance(MAX_DEADLINE).await;
+    assert!(ids.is_recent(u64::MAX, &limits), "one deadline later");
+    assert!(ids.protect_token(1 << 34, &limits));
+    let next = RequestIds::new();
+    next.import_protected(&ids.protected_tokens(), &limits);
+    assert!(
+        next.is_recent(u64::MAX, &limits) && next.is_recent(1 << 34, &limits),
+        "both generations are imported"
+    );
+    advance(MAX_DEADLINE).await;
+    assert!(!ids.is_recent(u64::MAX, &limits), "two deadlines later");
+}
+
+/// A reload with shorter deadlines must not drop the ids of requests that were admitted under longer ones.
+#[tokio::test(start_paused = true)]
+async fn tokens_are_kept_for_the_deadline_under_which_they_were_recorded() {
+    let (ids, limits) = (RequestIds::new(), limits());
+    assert!(ids.protect_token(1, &limits));
+    limits.update_timeouts(&LimitInputs { max_deadline: MAX_DEADLINE / 60, ..LimitInputs::default() });
+    for _ in 0..59 {
+        advance(MAX_DEADLINE / 60).await;
+        assert!(ids.is_recent(1, &limits));
+    }
+}
+
 #[tokio::test]
 async fn request_numbers_only_increase() {
     let ids = RequestIds::new();
