A connection that needs no shared buffer memory is served when that is used up

Callers saw (found while the pictures were played): during an upgrade beside hundreds of slow clients, 31 to 256 of some 460 small requests of another client were reset without an answer.

Cause: two processes share the budget of buffers and tell each other their use every 40 ms, so that the sum can be above the limit; then even a reservation of no bytes failed, which each connection makes for its first 2 KiB, and its first read looked like a client that has gone.

Change: no bytes can always be reserved; a head that needs more than is left gets 503, not 431. The pictures now run beside a fleet near the bound, as one mixed picture too, and the tests' platform listens with the backlog of a node.

--- a/crates/daemon/src/byte_budget.rs
+++ b/crates/daemon/src/byte_budget.rs
@@ -15,9 +15,10 @@
         Rc::new(ByteBudget { used: Cell::new(0), used_by_sibling: Cell::new(0), limit })
     }
 
-    /// Whether `bytes` more can be reserved.
+    /// Whether `bytes` more can be reserved. None always can: two processes that reserve at once can exceed the limit
+    /// together, and a connection that needs nothing of it is served all the same.
     pub fn can_reserve(&self, bytes: usize) -> bool {
-        self.used.get() + self.used_by_sibling.get() + bytes <= self.limit
+        bytes == 0 || self.used.get() + self.used_by_sibling.get() + bytes <= self.limit
     }
 
     /// Number of bytes that this process has reserved.
--- a/crates/daemon/src/downstream/durable_exchange.rs
+++ b/crates/daemon/src/downstream/durable_exchange.rs
@@ -180,8 +180,11 @@
                 return Ok(JobStart::NotRecorded(DurableAnswer::retry_later()));
             }
         };
-        // The other process has no ledger open, so that it runs none and needs no claim.
-        let AdmittedRequest { in_flight, last_answer_at, .. } = admitted;
+        let AdmittedRequest { in_flight, token, needs_claim, last_answer_at } = admitted;
+        if needs_claim {
+            // The other process has no ledger open and runs no such request, so that its consent is not waited for.
+            self.server.sibling.announce_request(token);
+        }
         in_flight.is_durable.set(true);
         let acceptance = ledger.accept(&in_flight, last_answer_at).await;
         // From here on the ledger detects duplicates of it.
--- a/crates/daemon/src/http1/connection.rs
+++ b/crates/daemon/src/http1/connection.rs
@@ -141,7 +141,7 @@
                 return Ok(Some(head));
             }
             if self.input.is_full() {
-                return Err(MessageError::HeadTooLarge.into());
+                return Err(self.full_buffer_error().into());
             }
             if self.read().await? == 0 {
                 return if self.input.is_empty() { Ok(None) } else { Err(ReceiveError::UnexpectedEof) };
@@ -149,6 +149,13 @@
         }
     }
 
+    fn full_buffer_error(&self) -> MessageError {
+        match self.input.has_max_size() {
+            true => MessageError::HeadTooLarge,
+            false => MessageError::NoBufferMemory,
+        }
+    }
+
     /// Moves the part of a body that is already buffered to `out`. Returns true if the body is complete.
     ///
     /// # Errors
--- a/crates/daemon/src/http1/error.rs
+++ b/crates/daemon/src/http1/error.rs
@@ -34,6 +34,9 @@
     /// A head, or a trailer field, that does not fit into the input buffer, or too many fields.
     #[error("message head too large")]
     HeadTooLarge,
+    /// The memory that all buffers share is used up by others.
+    #[error("no memory to buffer the message head")]
+    NoBufferMemory,
     /// A body of more bytes than its reader accepts.
     #[error("message body too large")]
     BodyTooLarge,
@@ -48,6 +51,7 @@
         match self {
             MessageError::HeadTooLarge => 431,
             MessageError::BodyTooLarge => 413,
+            MessageError::NoBufferMemory => 503,
             // RFC 9112, section 6.1.
             MessageError::UnsupportedTransferCoding => 501,
             _ => 400,
--- a/crates/daemon/src/ring_buffer.rs
+++ b/crates/daemon/src/ring_buffer.rs
@@ -58,6 +58,11 @@
         self.len == self.max_bytes || cannot_grow
     }
 
+    /// Whether the buffer has its maximum size, and not only as much as the budget allows.
+    pub fn has_max_size(&self) -> bool {
+        self.storage.len() == self.max_bytes
+    }
+
     /// Releases the memory of an empty buffer. Called when the connection becomes idle.
     pub fn release(&mut self) {
         if self.len == 0 {
--- a/crates/daemon/tests/common/platform.rs
+++ b/crates/daemon/tests/common/platform.rs
@@ -72,6 +72,9 @@
     (executors, Discovery::start(list(7, true, &entries)))
 }
 
+/// Connections that may wait on the platform's socket, as many as on one that a node opens.
+const BACKLOG: i32 = 1024;
+
 /// What a platform passes to the processes of one node: a listening socket and a directory for hot restarts.
 pub struct Platform {
     pub socket: TcpListener,
@@ -84,7 +87,10 @@
         let number = NUMBER.fetch_add(1, Ordering::Relaxed);
         let directory = std::env::temp_dir().join(format!("troutknot-{}-{number}", std::process::id()));
         std::fs::create_dir_all(&directory).unwrap();
-        Platform { socket: TcpListener::bind("127.0.0.1:0").unwrap(), directory }
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+        socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).unwrap();
+        socket.listen(BACKLOG).unwrap();
+        Platform { socket: socket.into(), directory }
     }
 
     /// Starts another process of the node.
--- a/crates/daemon/tests/hostile_clients.rs
+++ b/crates/daemon/tests/hostile_clients.rs
@@ -168,6 +168,17 @@
     },
 ];
 
+/// Clients of which each does one of the [`MEMORY_PICTURES`].
+const MIXED: Picture = Picture {
+    name: "all of these at once",
+    clients: CLIENTS,
+    script: |stream, is_done| {
+        static NEXT: AtomicUsize = AtomicUsize::new(0);
+        let picture = NEXT.fetch_add(1, Ordering::Relaxed) % MEMORY_PICTURES.len();
+        (MEMORY_PICTURES[picture].script)(stream, is_done)
+    },
+};
+
 /// The picture whose first request stays open at its executor.
 const INPUT_BEHIND_OPEN_REQUEST: &str = "input behind an open request";
 
@@ -361,6 +372,11 @@
         "limits": {"cores": 1.0, "memory_mb": memory_mb, "sockets": 1024}, "settings": settings()})
 }
 
+/// Executors that two processes of this size retain beside the one that serves; each takes memory of its own.
+fn fleet_size(memory_mb: u64) -> usize {
+    memory_mb as usize * KIB * KIB / 16_000
+}
+
 /// What was measured of one picture.
 struct Measured {
     peak_kb: usize,
@@ -378,7 +394,11 @@
 /// Plays a picture against a node for this long.
 fn play(picture: Picture, memory_mb: u64, processes: Processes, duration: Duration) -> Measured {
     let executor = Executor::start();
-    let discovery = Discovery::start(list(7, true, &[entry("s-1", &executor, "Ready")]));
+    let mut entries = vec![entry("s-1", &executor, "Ready")];
+    entries.extend(
+        (0..fleet_size(memory_mb)).map(|number| entry(&format!("s-{number:08x}"), &executor, "Terminating")),
+    );
+    let discovery = Discovery::start(list(7, true, &entries));
     let files = create_durable_files("kept = \"100ms\"");
     let platform = Platform::new();
     let config = node_config(&discovery, memory_mb);
@@ -461,7 +481,7 @@
         Err(_) => vec![48, 128, 192],
     };
     println!("picture | MB | processes | peak MB | answers | failures | p50 ms | p99 ms | max ms");
-    for picture in MEMORY_PICTURES.iter().chain(FLOOD_PICTURES) {
+    for picture in MEMORY_PICTURES.iter().chain([&MIXED]).chain(FLOOD_PICTURES) {
         if !picture.name.contains(&filter) {
             continue;
         }
--- a/crates/daemon/tests/unit/http1.rs
+++ b/crates/daemon/tests/unit/http1.rs
@@ -117,6 +117,29 @@
     sender.join().unwrap();
 }
 
+/// Guards against connections that are closed without an answer: two processes that reserve memory at once exceed the
+/// limit together, and a connection that needed none of it failed at its first read.
+#[tokio::test]
+async fn a_small_message_needs_none_of_the_memory_that_connections_share() {
+    const LIMIT: usize = 1024;
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let mut peer = TcpStream::connect(listener.local_addr().unwrap()).await.unwrap();
+    let (stream, _) = listener.accept().await.unwrap();
+    let budget = ByteBudget::new(LIMIT);
+    budget.set_used_by_sibling(LIMIT + 1);
+    assert!(!budget.can_reserve(1));
+    let mut connection = Connection::new(stream, 16 * 1024, &budget);
+    peer.write_all(b"GET / HTTP/1.1\r\nHost: n\r\n\r\n").await.unwrap();
+    assert!(connection.read_request_head().await.unwrap().is_some());
+    connection.write(&[b"HTTP/1.1 200 OK\r\n\r\n", &[b'r'; 10_000]]).await.unwrap();
+    // A head that needs more is refused for the time being, and is not too large.
+    let head = format!("GET / HTTP/1.1\r\nHost: n\r\nX: {}\r\n\r\n", "x".repeat(4000));
+    peer.write_all(head.as_bytes()).await.unwrap();
+    let refused = connection.read_request_head().await.unwrap_err();
+    assert!(matches!(refused, ReceiveError::Message(MessageError::NoBufferMemory)), "{refused}");
+    assert_eq!(MessageError::NoBufferMemory.status(), 503);
+}
+
 /// Guards against a peer that sends at full speed and keeps all other connections of the thread from being served.
 #[tokio::test]
 async fn a_connection_with_input_at_any_time_lets_other_tasks_run() {
